--- a/src/main/java/maddervalve/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -1,4 +1,4 @@
-package maddervalve;
+package postgrade;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import maddervalve.State.*;
+import postgrade.State.*;
 
 /**
  * All decisions of one gateway. The types, events and actions stand in Dispatcher.java.
--- a/src/main/java/maddervalve/Dispatcher.java
+++ b/src/main/java/postgrade/Dispatcher.java
@@ -1,4 +1,4 @@
-package maddervalve;
+package postgrade;
 
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/maddervalve/State.java
+++ b/src/main/java/postgrade/State.java
@@ -1,11 +1,11 @@
-package maddervalve;
+package postgrade;
 
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import maddervalve.Dispatcher.Job;
-import maddervalve.Dispatcher.JobClass;
-import maddervalve.Dispatcher.Worker;
+import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Worker;
 
 /** What {@link Decide} remembers: plain records and counts of one gateway. Nothing is decided here. */
 final class State {
--- a/src/main/java/maddervalve/benchlink/Main.java
+++ b/src/main/java/postgrade/benchlink/Main.java
@@ -1,4 +1,4 @@
-package maddervalve.benchlink;
+package postgrade.benchlink;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -17,7 +17,7 @@
 
     public static void main(String[] args) throws IOException {
         if (!Arrays.equals(args, new String[] {"benchlink"})) {
-            System.err.println("usage: java -jar maddervalve.jar benchlink");
+            System.err.println("usage: java -jar postgrade.jar benchlink");
             System.exit(2);
         }
         System.exit(serve(System.in, System.out, System.err));
--- a/src/main/java/maddervalve/benchlink/Wire.java
+++ b/src/main/java/postgrade/benchlink/Wire.java
@@ -1,24 +1,24 @@
-package maddervalve.benchlink;
+package postgrade.benchlink;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import maddervalve.Decide;
-import maddervalve.Dispatcher;
-import maddervalve.Dispatcher.Actions;
-import maddervalve.Dispatcher.Effect;
-import maddervalve.Dispatcher.Group;
-import maddervalve.Dispatcher.Job;
-import maddervalve.Dispatcher.JobClass;
-import maddervalve.Dispatcher.ListForm;
-import maddervalve.Dispatcher.Load;
-import maddervalve.Dispatcher.Outcome;
-import maddervalve.Dispatcher.Phase;
-import maddervalve.Dispatcher.Settings;
-import maddervalve.Dispatcher.Tenant;
-import maddervalve.Dispatcher.Worker;
+import postgrade.Decide;
+import postgrade.Dispatcher;
+import postgrade.Dispatcher.Actions;
+import postgrade.Dispatcher.Effect;
+import postgrade.Dispatcher.Group;
+import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.ListForm;
+import postgrade.Dispatcher.Load;
+import postgrade.Dispatcher.Outcome;
+import postgrade.Dispatcher.Phase;
+import postgrade.Dispatcher.Settings;
+import postgrade.Dispatcher.Tenant;
+import postgrade.Dispatcher.Worker;
 
 /** Turns lines of the wire into events and actions into lines. Decides nothing. */
 final class Wire {
--- a/src/test/java/maddervalve/Recorder.java
+++ b/src/test/java/postgrade/Recorder.java
@@ -1,8 +1,8 @@
-package maddervalve;
+package postgrade;
 
 import java.util.ArrayList;
 import java.util.List;
-import maddervalve.Dispatcher.Actions;
+import postgrade.Dispatcher.Actions;
 
 /** Writes actions down as words, oldest first. */
 final class Recorder implements Actions {
--- a/src/test/java/maddervalve/benchlink/MainTest.java
+++ b/src/test/java/postgrade/benchlink/MainTest.java
@@ -1,4 +1,4 @@
-package maddervalve.benchlink;
+package postgrade.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
