--- /dev/null
+++ b/src/main/java/postgrade/benchlink/SettingsReader.java
@@ -0,0 +1,174 @@
+package postgrade.benchlink;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import postgrade.Dispatcher.Effect;
+import postgrade.Dispatcher.Group;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Settings;
+import postgrade.Dispatcher.Tenant;
+
+/**
+ * Reads the settings of a deployment, so that the adapter and the daemon give the module the same. They come as the
+ * pairs of ATTACH or as nested JSON, which is turned into such pairs first. Unknown ones are left alone.
+ */
+public final class SettingsReader {
+
+    private final Map<String, String> pairs;
+
+    private SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    static SettingsReader ofPairs(Map<String, String> pairs) {
+        return new SettingsReader(pairs);
+    }
+
+    public static SettingsReader ofJson(JsonObject json) {
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", json, pairs);
+        return new SettingsReader(pairs);
+    }
+
+    /** Objects become paths, lists of objects a count and numbered paths, plain lists comma-joined text. */
+    private static void flatten(String path, JsonValue value, Map<String, String> pairs) {
+        if (value.isObject()) {
+            for (JsonObject.Member m : value.asObject()) {
+                flatten(path.isEmpty() ? m.getName() : path + "." + m.getName(), m.getValue(), pairs);
+            }
+        } else if (value.isArray() && holdsObjects(value.asArray())) {
+            pairs.put(path + ".count", Integer.toString(value.asArray().size()));
+            for (int i = 0; i < value.asArray().size(); i++) {
+                flatten(path + "." + i, value.asArray().get(i), pairs);
+            }
+        } else if (value.isArray()) {
+            StringJoiner joined = new StringJoiner(",");
+            value.asArray().forEach(v -> joined.add(plain(v)));
+            pairs.put(path, joined.toString());
+        } else if (!value.isNull()) {
+            pairs.put(path, plain(value));
+        }
+    }
+
+    private static boolean holdsObjects(JsonArray array) {
+        return !array.isEmpty() && array.get(0).isObject();
+    }
+
+    private static String plain(JsonValue value) {
+        return value.isString() ? value.asString() : value.toString();
+    }
+
+    /** The text under this key, or what stands for it where it is absent. */
+    public String text(String key, String absent) {
+        return pairs.getOrDefault(key, absent);
+    }
+
+    /** Exceptions name the faulty key. */
+    public Settings settings() {
+        List<String> kinds = list("skus");
+        List<String> classKinds = list("specifics.classKind");
+        List<String> stretches = list("specifics.classStretch");
+        List<JobClass> classes = new ArrayList<>();
+        int count = (int) number("classes.count");
+        for (int i = 0; i < count; i++) {
+            String at = "classes." + i + ".";
+            int kind = i < classKinds.size() ? (int) parse("specifics.classKind", classKinds.get(i)) : -1;
+            double stretch = i < stretches.size() ? parse("specifics.classStretch", stretches.get(i))
+                    : number(at + "aimStretch", 0);
+            classes.add(new JobClass(must(at + "name"), effect(at), group(at),
+                    (long) number(at + "windowNs", 0), (long) number(at + "onTimeNs"), stretch,
+                    number(at + "importance", 1), number(at + "lateShare", 0),
+                    kind >= 0 && kind < kinds.size() ? kinds.get(kind) : null,
+                    yes(at + "stream", false)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        int tenantCount = (int) number("tenants.count", 0);
+        for (int i = 0; i < tenantCount; i++) {
+            String at = "tenants." + i + ".";
+            tenants.add(new Tenant(must(at + "name"), number(at + "quotaPerS")));
+        }
+        return Settings.builder()
+                .gateways((int) number("balancers", 1))
+                .gateway((int) number("index", 0))
+                .zone(text("zone", ""))
+                .classes(classes)
+                .tenants(tenants)
+                .asksForList("ask".equals(pairs.get("discovery")))
+                .droppedStayOpen(yes("obligations.droppedStayOpen", false))
+                .maxAttempts((int) number("limits.maxAttempts", 3))
+                .mayDuplicate(yes("limits.mayDuplicate", false))
+                .mayCancel(yes("limits.cancel", false))
+                .probes(yes("limits.mayProbe", false), number("fees.probe", 0))
+                .maxRetryAfterNs(yes("limits.retryAfter", false)
+                        ? (long) number("limits.maxRetryAfterNs", 0) : 0)
+                .tellsStart(yes("specifics.tellsStart", false))
+                .cold(number("obligations.coldShare", 1), (long) number("obligations.warmWithinNs", 0))
+                .fall(number("obligations.fallMultiple", 1), (long) number("obligations.fallNs", 1e9))
+                .tickNs((long) number("tickNs", 1e6))
+                .build();
+    }
+
+    private Effect effect(String at) {
+        String value = must(at + "idempotency");
+        return switch (value) {
+            case "read_like" -> Effect.SAFE;
+            case "idempotency_key" -> Effect.KEYED;
+            case "non_idempotent" -> Effect.UNSAFE;
+            default -> throw new IllegalArgumentException(at + "idempotency cannot be " + value);
+        };
+    }
+
+    private Group group(String at) {
+        String value = pairs.getOrDefault(at + "group", "all");
+        return switch (value) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            case "cell" -> Group.CELL;
+            default -> throw new IllegalArgumentException(at + "group cannot be " + value);
+        };
+    }
+
+    public List<String> list(String key) {
+        String value = pairs.getOrDefault(key, "");
+        return value.isEmpty() || value.equals("-") ? List.of() : List.of(value.split(","));
+    }
+
+    private String must(String key) {
+        String value = pairs.get(key);
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException(key + " is missing");
+        }
+        return value;
+    }
+
+    public double number(String key) {
+        return parse(key, must(key));
+    }
+
+    public double number(String key, double absent) {
+        String value = pairs.get(key);
+        return value == null || value.isEmpty() || value.equals("-") ? absent : parse(key, value);
+    }
+
+    private double parse(String key, String value) {
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(key + " cannot be " + value);
+        }
+    }
+
+    private boolean yes(String key, boolean absent) {
+        String value = pairs.get(key);
+        if (value == null) {
+            return absent;
+        }
+        return value.equals("true") || value.equals("1");
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -0,0 +1,223 @@
+package postgrade.consumer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import postgrade.gateway.Consumer;
+import postgrade.gateway.Gateway;
+import postgrade.gateway.Invocation;
+import postgrade.gateway.Payload;
+import postgrade.http.BadMessage;
+import postgrade.http.Connection;
+import postgrade.http.Message;
+import postgrade.http.MessageParser;
+import postgrade.http.MessageWriter;
+
+/** One accepted connection: a consumer's or a provider's. It carries one request at a time. */
+final class ConsumerConnection implements Connection.Owner {
+
+    private static final byte[] NONE = {};
+    /** A request must be whole, and an answer taken, within this time; guards against peers that trickle. */
+    private static final long STALL_MICROS = 15_000_000;
+    private static final long IDLE_MICROS = 300_000_000;
+    /** Bytes kept of requests that come before the one ahead of them is answered. */
+    private static final int MOST_AHEAD = MessageParser.MOST_BODY * 2;
+
+    private final Listener listener;
+    private final Connection connection;
+    private final MessageParser parser = MessageParser.ofRequests();
+    private ByteBuffer ahead = ByteBuffer.allocate(0);
+    private Exchange exchange;
+    private boolean parsing;
+    private boolean ofProvider;
+    private long activeMicros;
+
+    ConsumerConnection(Listener listener, SocketChannel channel) throws IOException {
+        this.listener = listener;
+        activeMicros = listener.timers.nowMicros();
+        connection = Connection.accepted(listener.reactor, channel, this);
+        connection.idle(true);
+    }
+
+    @Override
+    public void received(Connection c, ByteBuffer bytes) throws BadMessage {
+        activeMicros = listener.timers.nowMicros();
+        if (ahead.hasRemaining()) {
+            if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
+                connection.close();
+                closed(c);
+                return;
+            }
+            bytes = ByteBuffer.allocate(ahead.remaining() + bytes.remaining()).put(ahead).put(bytes).flip();
+        }
+        parse(bytes);
+    }
+
+    /** Takes requests one after another, as long as each is answered at once. */
+    private void parse(ByteBuffer bytes) throws BadMessage {
+        parsing = true;
+        while (exchange == null && bytes.hasRemaining() && connection.isOpen()) {
+            Message request = parser.parse(bytes);
+            if (request != null) {
+                handle(request);
+            }
+        }
+        parsing = false;
+        ahead = ByteBuffer.allocate(0);
+        if (bytes.hasRemaining()) {
+            ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+        }
+        connection.idle(!busy());
+    }
+
+    private void handle(Message request) {
+        String path = request.target().split("\\?", 2)[0];
+        if (path.equals("/api") || path.startsWith("/api/")) {
+            ofProvider = false;
+            if (request.method().equals("POST")) {
+                invoke(request);
+            } else {
+                answer(405, "only POST is taken here", request.keepsAlive());
+            }
+        } else if (path.equals("/-/ready")) {
+            boolean ready = listener.readyToServe();
+            answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", request.keepsAlive());
+        } else if (path.equals(JobEvents.PATH) && request.method().equals("POST")) {
+            ofProvider = true;
+            String error = JobEvents.take(request.body(), listener.gateway);
+            answer(error == null ? 204 : 400, error == null ? "" : error, request.keepsAlive());
+        } else {
+            answer(404, "no such page\n", request.keepsAlive());
+        }
+    }
+
+    private void invoke(Message request) {
+        String jobClass = request.header("x-class");
+        String id = request.header("x-request-id");
+        Long classDeadline = jobClass == null ? null : listener.deadlineMicros.get(jobClass);
+        if (id == null || id.isEmpty() || classDeadline == null) {
+            answer(400, id == null || id.isEmpty() ? "X-Request-Id is missing\n" : "X-Class is not known\n",
+                    request.keepsAlive());
+            return;
+        }
+        long deadline;
+        double slots;
+        double memory;
+        try {
+            deadline = Fields.deadlineMicros(request.header("x-deadline"), classDeadline);
+            slots = Fields.extra(request.header("x-extras"), "slots", 1);
+            memory = Fields.extra(request.header("x-extras"), "memory", 0);
+        } catch (IllegalArgumentException e) {
+            answer(400, e.getMessage() + "\n", request.keepsAlive());
+            return;
+        }
+        Exchange opened = new Exchange(request.keepsAlive());
+        exchange = opened;
+        opened.invocation = new Invocation(id, jobClass, request.header("x-tenant"), request.header("x-key"), slots,
+                memory, listener.timers.nowMicros() + deadline,
+                new Payload(request.method(), request.target(), request.header("content-type"), request.body()),
+                opened);
+        if (!listener.gateway.open(opened.invocation)) {
+            opened.answer(409, NONE, null);
+        }
+    }
+
+    private void answer(int status, String text, boolean keepsAlive) {
+        write(status, text.getBytes(StandardCharsets.UTF_8), null, keepsAlive);
+    }
+
+    private void write(int status, byte[] body, String retryAfter, boolean keepsAlive) {
+        activeMicros = listener.timers.nowMicros();
+        boolean keep = keepsAlive && !(listener.stopping() && !ofProvider);
+        connection.write(MessageWriter.response(status).header("Retry-After", retryAfter)
+                .header("Connection", keep ? null : "close").body(body));
+        if (!keep) {
+            connection.closeWhenSent();
+            if (!connection.isOpen()) {
+                listener.closed(this);
+            }
+        }
+    }
+
+    boolean busy() {
+        return exchange != null || !parser.atStart() || ahead.hasRemaining() || !connection.allSent();
+    }
+
+    void sweep(long nowMicros) {
+        long most = busy() ? STALL_MICROS : IDLE_MICROS;
+        if (exchange == null && nowMicros - activeMicros > most) {
+            connection.close();
+        }
+        if (!connection.isOpen()) {
+            listener.closed(this);
+        }
+    }
+
+    void closeIfIdle() {
+        if (!busy() && !ofProvider) {
+            connection.close();
+            listener.closed(this);
+        }
+    }
+
+    @Override
+    public void bad(Connection c, BadMessage e) {
+        parsing = false;
+        answer(e.status(), e.getMessage() + "\n", false);
+    }
+
+    @Override
+    public void closed(Connection c) {
+        listener.closed(this);
+        if (exchange != null) {
+            Exchange left = exchange;
+            exchange = null;
+            listener.gateway.abandon(left.invocation);
+        }
+    }
+
+    /** One request that waits for its answer. */
+    private final class Exchange implements Consumer {
+        private final boolean keepsAlive;
+        private Invocation invocation;
+
+        Exchange(boolean keepsAlive) {
+            this.keepsAlive = keepsAlive;
+        }
+
+        @Override
+        public void serve(byte[] result) {
+            answer(200, result, null);
+        }
+
+        @Override
+        public void reject(long retryAfterMicros) {
+            long millis = (retryAfterMicros + 999) / 1000;
+            answer(429, NONE, millis == 0 ? null : String.format(Locale.ROOT, "%d.%03d", millis / 1000,
+                    millis % 1000));
+        }
+
+        @Override
+        public void fail(boolean timedOut) {
+            answer(timedOut ? 504 : 502, NONE, null);
+        }
+
+        private void answer(int status, byte[] body, String retryAfter) {
+            if (exchange != this) {
+                return; // The consumer has left.
+            }
+            exchange = null;
+            write(status, body, retryAfter, keepsAlive);
+            if (!parsing && connection.isOpen()) {
+                try {
+                    parse(ahead);
+                } catch (BadMessage e) {
+                    bad(connection, e);
+                    connection.closeWhenSent();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/daemon/Config.java
@@ -0,0 +1,159 @@
+package postgrade.daemon;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Settings;
+import postgrade.benchlink.SettingsReader;
+import postgrade.discovery.TargetList;
+
+/** The daemon's configuration. This is the one place where it is read, checked and given defaults. */
+final class Config {
+
+    /** What cannot be started with; the message begins with the faulty key. */
+    static final class Faulty extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Faulty(String key, String what) {
+            super(key + ": " + what);
+        }
+    }
+
+    private static final int DEFAULT_SOCKETS = 1024;
+    /** Descriptors that the virtual machine itself holds: its files, the selector, the standard streams. */
+    private static final int OWN_DESCRIPTORS = 64;
+    private static final double DEFAULT_MOST_HELD = 20_000;
+    private static final double DEFAULT_DEADLINE_NS = 30e9;
+    private static final double DEFAULT_CONNECT_NS = 250e6;
+    private static final double DEFAULT_IDLE_NS = 10e9;
+
+    final String name;
+    final InetSocketAddress listen;
+    final InetSocketAddress discovery;
+    final long seed;
+    /** Sockets of all peers together. */
+    final int sockets;
+    final Settings settings;
+    final int mostHeld;
+    final long connectTimeoutMicros;
+    final long idleMicros;
+    final Map<String, Long> deadlineMicros = new HashMap<>();
+    /** The list as it was last known, or null. */
+    final TargetList known;
+
+    private final Map<String, String> environment;
+    private final JsonObject json;
+
+    private Config(Map<String, String> environment, JsonObject json) throws Faulty {
+        this.environment = environment;
+        this.json = json;
+        name = text("name", "ROUTER_NAME");
+        listen = address("listen", "ROUTER_LISTEN");
+        discovery = address("discovery", "ROUTER_DISCOVERY");
+        seed = seed();
+        sockets = sockets();
+        JsonValue given = json.get("settings");
+        if (given == null || !given.isObject()) {
+            throw new Faulty("settings", "an object is needed");
+        }
+        SettingsReader read = SettingsReader.ofJson(given.asObject());
+        try {
+            settings = read.settings();
+            mostHeld = (int) positive(read, "limits.mostHeld", DEFAULT_MOST_HELD);
+            connectTimeoutMicros = (long) (positive(read, "limits.connectTimeoutNs", DEFAULT_CONNECT_NS) / 1000);
+            idleMicros = (long) (positive(read, "limits.connIdleNs", DEFAULT_IDLE_NS) / 1000);
+            List<JobClass> classes = settings.classes;
+            for (int i = 0; i < classes.size(); i++) {
+                deadlineMicros.put(classes.get(i).name(),
+                        (long) (positive(read, "classes." + i + ".deadlineNs", DEFAULT_DEADLINE_NS) / 1000));
+            }
+        } catch (IllegalArgumentException e) {
+            throw new Faulty("settings", e.getMessage());
+        }
+        known = known();
+    }
+
+    static Config read(Map<String, String> environment) throws Faulty {
+        String file = environment.get("ROUTER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Faulty("ROUTER_CONFIG", "not set");
+        }
+        try {
+            return new Config(environment, Json.parse(Files.readString(Path.of(file))).asObject());
+        } catch (IOException e) {
+            throw new Faulty("ROUTER_CONFIG", "cannot be read: " + e);
+        } catch (RuntimeException e) {
+            throw new Faulty("ROUTER_CONFIG", "not a JSON object: " + e.getMessage());
+        }
+    }
+
+    private String text(String key, String variable) throws Faulty {
+        JsonValue value = json.get(key);
+        String text = value != null && value.isString() ? value.asString() : environment.getOrDefault(variable, "");
+        if (text.isEmpty()) {
+            throw new Faulty(key, "missing, and " + variable + " is not set");
+        }
+        return text;
+    }
+
+    private InetSocketAddress address(String key, String variable) throws Faulty {
+        try {
+            return TargetList.address(text(key, variable));
+        } catch (IllegalArgumentException e) {
+            throw new Faulty(key, e.getMessage());
+        }
+    }
+
+    private long seed() throws Faulty {
+        JsonValue value = json.get("seed");
+        if (value == null) {
+            return System.nanoTime();
+        }
+        try {
+            return value.isNumber() ? (long) value.asDouble() : Long.parseUnsignedLong(value.asString(), 16);
+        } catch (RuntimeException e) {
+            throw new Faulty("seed", "not a number of up to 16 hex digits");
+        }
+    }
+
+    private int sockets() throws Faulty {
+        JsonValue limits = json.get("limits");
+        JsonValue value = limits != null && limits.isObject() ? limits.asObject().get("sockets") : null;
+        if (value != null && !value.isNumber()) {
+            throw new Faulty("limits.sockets", "not a number");
+        }
+        int descriptors = value == null ? DEFAULT_SOCKETS : (int) value.asDouble();
+        if (descriptors < 2 * OWN_DESCRIPTORS) {
+            throw new Faulty("limits.sockets", "at least " + 2 * OWN_DESCRIPTORS + " are needed");
+        }
+        return descriptors - OWN_DESCRIPTORS;
+    }
+
+    private static double positive(SettingsReader read, String key, double absent) {
+        double value = read.number(key, absent);
+        if (!(value > 0)) {
+            throw new IllegalArgumentException(key + " must be positive");
+        }
+        return value;
+    }
+
+    private TargetList known() throws Faulty {
+        JsonValue value = json.get("known");
+        if (value == null || value.isNull()) {
+            return null;
+        }
+        try {
+            return TargetList.of(value.asObject());
+        } catch (RuntimeException e) {
+            throw new Faulty("known", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -0,0 +1,126 @@
+package postgrade.daemon;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Logger;
+import postgrade.Dispatcher.ListForm;
+import postgrade.Dispatcher.Phase;
+import postgrade.Dispatcher.Worker;
+import postgrade.consumer.Listener;
+import postgrade.discovery.TargetList;
+import postgrade.discovery.TargetList.Entry;
+import postgrade.discovery.TargetList.State;
+import postgrade.discovery.Watch;
+import postgrade.gateway.Gateway;
+import postgrade.http.SocketBudget;
+import postgrade.provider.ProviderPools;
+import postgrade.provider.Target;
+
+/** One dispatcher: puts the parts together, passes the list on, and stops in order. */
+final class Daemon {
+
+    private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
+    private static final long NANOS = 1_000;
+    /** After SIGTERM new consumers may still come for a while; all that comes until then is served as ever. */
+    private static final long STOP_MICROS = 900_000;
+    private static final long STOP_CHECK_MICROS = 20_000;
+    private static final long MICROS_PER_SECOND = 1_000_000;
+
+    private final Loop loop;
+    private final Gateway gateway;
+    private final ProviderPools providers;
+    private final Listener listener;
+    private final Watch watch;
+    private final Thread thread;
+    private long stopFromMicros;
+
+    Daemon(Config config) throws IOException {
+        loop = new Loop(new SocketBudget(config.sockets));
+        gateway = new Gateway(config.settings, config.seed, config.mostHeld, loop);
+        providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
+        gateway.connect(providers);
+        if (config.known != null) {
+            list(ListForm.STORED, config.known);
+        }
+        listener = new Listener(config.listen, config.deadlineMicros, () -> providers.readyCount() > 0, gateway, loop,
+                loop);
+        watch = new Watch(config.discovery, config.name, config.known == null ? 0 : config.known.version(), loop,
+                loop, list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
+        thread = new Thread(null, this::run, "loop");
+        LOG.info(config.name + " listens on " + config.listen + ", " + providers.readyCount()
+                + " providers known from before");
+    }
+
+    int port() throws IOException {
+        return listener.port();
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    private void run() {
+        try {
+            watch.open();
+            loop.run(new Loop.Turn() {
+                @Override
+                public void take() {
+                    gateway.turn();
+                }
+
+                @Override
+                public boolean pending() {
+                    return gateway.pending();
+                }
+            });
+        } catch (IOException e) {
+            LOG.severe("the selector failed: " + e);
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    private void list(ListForm form, TargetList list) {
+        List<Target> targets = new ArrayList<>();
+        List<Worker> workers = new ArrayList<>();
+        for (Entry e : list.entries()) {
+            targets.add(new Target(e.id(), e.address(), e.state() == State.READY));
+            Phase phase = switch (e.state()) {
+                case READY -> Phase.READY;
+                case DRAINING -> Phase.DRAINING;
+                case GONE -> Phase.GONE;
+            };
+            long born = e.startedMillis() == 0 ? 0 : loop.fromUnixMillis(e.startedMillis());
+            workers.add(new Worker(e.id(), e.zone(), e.kind(), e.cell(), phase, e.weight(), born * NANOS));
+        }
+        providers.list(form != ListForm.CHANGES, targets);
+        gateway.list(form, workers);
+    }
+
+    /** Stops in order and returns when all that was taken is answered. May be called from any thread. */
+    void stop() {
+        loop.ask(() -> {
+            LOG.info("stopping: no longer ready, serving on");
+            stopFromMicros = loop.nowMicros();
+            listener.beginStop();
+            loop.at(stopFromMicros + STOP_MICROS, this::finish);
+        });
+        try {
+            // Guards against an exit in mid-answer: the virtual machine ends once its shutdown hooks have returned.
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void finish() {
+        listener.closeIdle();
+        if (gateway.idle() && providers.quiet() && listener.quiet()) {
+            LOG.info("stopped after " + (loop.nowMicros() - stopFromMicros) / (MICROS_PER_SECOND / 1000)
+                    + " ms, all answered");
+            loop.stop();
+        } else {
+            loop.at(loop.nowMicros() + STOP_CHECK_MICROS, this::finish);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/daemon/Loop.java
@@ -0,0 +1,188 @@
+package postgrade.daemon;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import postgrade.gateway.Timers;
+import postgrade.http.Reactor;
+import postgrade.http.SocketBudget;
+
+/** The one thread of the daemon: waits for channels and timers, then lets the gateway take its turn. */
+final class Loop implements Reactor, Timers {
+
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final int READ_BYTES = 64 << 10;
+    /** The clock starts at a day, so that the starts of providers up to a day before ours lie after 0. */
+    private static final long ORIGIN_MICROS = 86_400_000_000L;
+
+    /** What takes its turn when all that was ready has been gathered. */
+    interface Turn {
+        void take();
+
+        /** More waits, so that the next turn is due at once. */
+        boolean pending();
+    }
+
+    private final Selector selector;
+    private final SocketBudget sockets;
+    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final long startNanos = System.nanoTime();
+    private final long startUnixMillis = System.currentTimeMillis();
+    private long nowMicros = ORIGIN_MICROS;
+    private long timerCount;
+    private volatile boolean stopped;
+    private volatile Runnable asked;
+
+    Loop(SocketBudget sockets) throws IOException {
+        this.sockets = sockets;
+        selector = Selector.open();
+    }
+
+    /** A point of Unix time on this clock, 0 for one too long ago for it. */
+    long fromUnixMillis(long millis) {
+        return Math.max(0, ORIGIN_MICROS + (millis - startUnixMillis) * 1000);
+    }
+
+    void run(Turn turn) throws IOException {
+        while (!stopped) {
+            select(turn.pending());
+            nowMicros = ORIGIN_MICROS + (System.nanoTime() - startNanos) / 1000;
+            Runnable task = asked;
+            if (task != null) {
+                asked = null;
+                task.run();
+            }
+            serve(new ArrayList<>(selector.selectedKeys()));
+            selector.selectedKeys().clear();
+            while (!timers.isEmpty() && timers.peek().whenMicros <= nowMicros) {
+                Due due = timers.poll();
+                if (due.task != null) {
+                    guarded(due.task);
+                }
+            }
+            turn.take();
+        }
+        selector.close();
+    }
+
+    private void select(boolean atOnce) throws IOException {
+        while (!timers.isEmpty() && timers.peek().task == null) {
+            timers.poll();
+        }
+        if (atOnce) {
+            selector.selectNow();
+        } else if (timers.isEmpty()) {
+            selector.select();
+        } else {
+            long passed = ORIGIN_MICROS + (System.nanoTime() - startNanos) / 1000;
+            long waitMicros = timers.peek().whenMicros - passed;
+            if (waitMicros <= 0) {
+                selector.selectNow();
+            } else {
+                selector.select((waitMicros + 999) / 1000);
+            }
+        }
+    }
+
+    /** Urgent channels go first: what discovery has told must be known before anything else is looked at. */
+    private void serve(List<SelectionKey> keys) {
+        for (boolean urgent : new boolean[] {true, false}) {
+            for (SelectionKey key : keys) {
+                Handler handler = (Handler) key.attachment();
+                if (handler.urgent() == urgent && key.isValid()) {
+                    serve(key, handler);
+                }
+            }
+        }
+    }
+
+    private void serve(SelectionKey key, Handler handler) {
+        try {
+            handler.ready(key);
+        } catch (IOException | CancelledKeyException e) {
+            handler.failed(e); // An ordinary break of one connection.
+        } catch (RuntimeException e) {
+            // Guards the loop: what goes wrong with one connection ends that connection alone.
+            LOG.log(Level.SEVERE, "a connection's handler failed; the connection is closed", e);
+            guarded(() -> handler.failed(e));
+        }
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a task of the loop failed", e);
+        }
+    }
+
+    /** Runs a task on the loop's thread; may be called from any other. */
+    void ask(Runnable task) {
+        asked = task;
+        selector.wakeup();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public long nowMicros() {
+        return nowMicros;
+    }
+
+    @Override
+    public Timer at(long whenMicros, Runnable task) {
+        Due due = new Due(whenMicros, timerCount++, task);
+        timers.add(due);
+        return due;
+    }
+
+    @Override
+    public SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
+        return channel.register(selector, interest, handler);
+    }
+
+    @Override
+    public ByteBuffer readBuffer() {
+        return readBuffer;
+    }
+
+    @Override
+    public SocketBudget sockets() {
+        return sockets;
+    }
+
+    /** A timer in the heap; a cancelled one stays there, empty, until its time. */
+    private static final class Due implements Timer, Comparable<Due> {
+        private final long whenMicros;
+        private final long number;
+        private Runnable task;
+
+        Due(long whenMicros, long number, Runnable task) {
+            this.whenMicros = whenMicros;
+            this.number = number;
+            this.task = task;
+        }
+
+        @Override
+        public void cancel() {
+            task = null;
+        }
+
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(whenMicros, other.whenMicros);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/gateway/Consumer.java
@@ -0,0 +1,13 @@
+package postgrade.gateway;
+
+/** Who waits for an invocation's final answer. Exactly one of these is called, once. */
+public interface Consumer {
+
+    void serve(byte[] result);
+
+    /** A rejection: the job has not run, and trying again after this time is harmless. 0: no advice. */
+    void reject(long retryAfterMicros);
+
+    /** @param timedOut the deadline has passed */
+    void fail(boolean timedOut);
+}
--- /dev/null
+++ b/src/main/java/postgrade/gateway/Gateway.java
@@ -0,0 +1,327 @@
+package postgrade.gateway;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongConsumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import postgrade.Decide;
+import postgrade.Dispatcher;
+import postgrade.Dispatcher.Actions;
+import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.ListForm;
+import postgrade.Dispatcher.Load;
+import postgrade.Dispatcher.Outcome;
+import postgrade.Dispatcher.Settings;
+import postgrade.Dispatcher.Worker;
+
+/**
+ * The daemon's core. It holds the open invocations and their calls, hands events to the decision module and
+ * carries out its actions. It knows no protocol: a consumer's side opens and abandons invocations, the provider's
+ * side sends calls and tells how they end.
+ *
+ * <p>What comes in during a turn of the loop is queued. {@link #turn} hands it to the module in one go and only
+ * then carries out the actions, in order; what those bring about waits for the next turn.
+ */
+public final class Gateway {
+
+    private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
+    private static final long NANOS = 1_000;
+    /** The module answers by the deadline; what it has not answered so long after is failed here. */
+    private static final long OVERDUE_MICROS = 20_000;
+
+    private final Timers timers;
+    private final Dispatcher module;
+    private final int mostHeld;
+    private final boolean mayDuplicate;
+    private final Map<String, Invocation> open = new HashMap<>();
+    private final ArrayDeque<LongConsumer> lists = new ArrayDeque<>();
+    private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
+    private final ArrayDeque<Invocation> touched = new ArrayDeque<>();
+    private Providers providers;
+    private int waiting;
+
+    /** @param mostHeld the most invocations held at once; further ones are rejected at once */
+    public Gateway(Settings settings, long seed, int mostHeld, Timers timers) {
+        this.timers = timers;
+        this.mostHeld = mostHeld;
+        mayDuplicate = settings.mayDuplicate;
+        module = new Decide(settings, seed, new Buffered());
+    }
+
+    /** To be called once, before the first turn. */
+    public void connect(Providers to) {
+        providers = to;
+    }
+
+    // ---- What comes in. Nothing here calls the module.
+
+    /** Takes an invocation over. False if its id is held already: then nobody will answer it. */
+    public boolean open(Invocation in) {
+        if (open.containsKey(in.id)) {
+            return false; // One id, one life: the module would ignore the second and never answer it.
+        }
+        if (waiting >= mostHeld) {
+            // Guards the memory: beyond this an invocation is turned away before the module hears of it.
+            in.consumer.reject(0);
+            return true;
+        }
+        open.put(in.id, in);
+        waiting++;
+        in.overdue = timers.at(in.deadlineMicros + OVERDUE_MICROS, () -> overdue(in));
+        events.add(now -> {
+            try {
+                module.job(now, new Job(in.id, in.jobClass, in.tenant, in.key,
+                        in.deadlineMicros * NANOS - now, in.slots, in.memory));
+            } catch (RuntimeException e) {
+                // Guards the one answer: an invocation that the module stumbles over is still owed it.
+                LOG.log(Level.SEVERE, "the module could not take a job of class " + in.jobClass, e);
+                answer(in);
+                in.consumer.fail(false);
+            }
+        });
+        return true;
+    }
+
+    /** The consumer has left: nothing more is owed. */
+    public void abandon(Invocation in) {
+        if (!in.answered) {
+            answer(in);
+            tell(in, now -> module.abandoned(now, in.id));
+        }
+    }
+
+    /** A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over. */
+    public void report(String id, String from, JobState state, double share, byte[] result) {
+        Invocation in = open.get(id);
+        InvokerCall call = in == null ? null : callOutAt(in, from);
+        if (call == null) {
+            return;
+        }
+        switch (state) {
+            case STARTED -> tell(in, now -> module.started(now, id, call.number));
+            case RUNNING -> tell(in, now -> module.progress(now, id, call.number, share));
+            default -> {
+                if (state != JobState.DONE && echoes(call)) {
+                    // Guards against a late call-back of an earlier call to the same provider, which would free
+                    // this one while it runs: it is given up before the module hears, and may have run.
+                    giveUp(call, Outcome.RESET);
+                } else {
+                    call.handle.ended();
+                    end(call, state.end, result);
+                }
+            }
+        }
+    }
+
+    private static InvokerCall callOutAt(Invocation in, String providerId) {
+        for (InvokerCall call : in.calls) {
+            if (call.out() && call.handle != null && call.providerId.equals(providerId)) {
+                return call;
+            }
+        }
+        return null;
+    }
+
+    private static boolean echoes(InvokerCall call) {
+        return call.invocation.calls.stream().anyMatch(other -> other.number < call.number
+                && other.providerId.equals(call.providerId) && other.handle != null && other.handle.mayReport());
+    }
+
+    /** How a call ended, as the provider's side saw it. */
+    public void ended(InvokerCall call, Outcome outcome) {
+        end(call, outcome, null);
+    }
+
+    public void probed(String providerId, boolean answered) {
+        events.add(now -> module.probed(now, providerId, answered, Load.NONE));
+    }
+
+    public void list(ListForm form, List<Worker> workers) {
+        lists.add(now -> module.list(now, form, workers));
+    }
+
+    /** Nothing is owed, under way or waiting to be told. */
+    public boolean idle() {
+        return open.isEmpty() && !pending();
+    }
+
+    /** Events wait for a turn. */
+    public boolean pending() {
+        return !events.isEmpty() || !lists.isEmpty();
+    }
+
+    // ---- The turn.
+
+    /** Hands over what came in, the list first, and carries out what the module decides. */
+    public void turn() {
+        // Guards the drain rule: what the list says of a worker is known before anything is sent in this turn.
+        handOver(lists);
+        handOver(events);
+        for (Runnable action = actions.poll(); action != null; action = actions.poll()) {
+            action.run();
+        }
+        for (Invocation in = touched.poll(); in != null; in = touched.poll()) {
+            if (in.settled()) {
+                open.remove(in.id, in);
+            }
+        }
+    }
+
+    private void handOver(ArrayDeque<LongConsumer> queue) {
+        long nowNs = timers.nowMicros() * NANOS;
+        for (LongConsumer event = queue.poll(); event != null; event = queue.poll()) {
+            try {
+                event.accept(nowNs);
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "the module failed on an event", e);
+            }
+        }
+    }
+
+    /** Queues an event of this invocation, which is remembered until the module has heard it. */
+    private void tell(Invocation in, LongConsumer event) {
+        in.untold++;
+        events.add(now -> {
+            in.untold--;
+            touched.add(in);
+            event.accept(now);
+        });
+    }
+
+    // ---- Calls and answers.
+
+    private void end(InvokerCall call, Outcome outcome, byte[] result) {
+        if (!call.out()) {
+            return;
+        }
+        Invocation in = call.invocation;
+        call.end = outcome;
+        in.callsOut--;
+        if (call.timer != null) {
+            call.timer.cancel();
+        }
+        if (outcome == Outcome.SERVED && !in.answered) {
+            answer(in);
+            in.consumer.serve(result);
+        }
+        boolean last = in.answered;
+        tell(in, now -> module.finished(now, in.id, call.number, outcome, last, Load.NONE));
+    }
+
+    /** Marks the one final answer, which the caller gives. */
+    private void answer(Invocation in) {
+        in.answered = true;
+        in.overdue.cancel();
+        waiting--;
+        touched.add(in);
+    }
+
+    private void overdue(Invocation in) {
+        if (!in.answered) {
+            LOG.severe("the module left a job of class " + in.jobClass + " unanswered at its deadline; failed here");
+            answer(in);
+            in.consumer.fail(true);
+            tell(in, now -> module.abandoned(now, in.id));
+        }
+    }
+
+    private void expire(InvokerCall call) {
+        if (call.out() && timers.nowMicros() >= call.invocation.deadlineMicros) {
+            // The module owes the answer now and can send no more, so it need not wait for the provider.
+            call.handle.giveUp(() -> { });
+            end(call, Outcome.TIMEOUT, null);
+        } else {
+            call.timer = timers.at(call.invocation.deadlineMicros, () -> expire(call));
+            giveUp(call, Outcome.TIMEOUT);
+        }
+    }
+
+    /** Guards against two calls out: the module hears, and may send again, only after the call is given up. */
+    private void giveUp(InvokerCall call, Outcome as) {
+        if (call.out() && !call.givingUp) {
+            call.givingUp = true;
+            call.handle.giveUp(() -> end(call, as, null));
+        }
+    }
+
+    private void send(String id, String providerId, long limitNs) {
+        Invocation in = open.get(id);
+        if (in == null) {
+            return;
+        }
+        long now = timers.nowMicros();
+        long until = limitNs == 0 ? in.deadlineMicros : Math.min(in.deadlineMicros, now + limitNs / NANOS);
+        InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until);
+        boolean second = in.callsOut > 0 && !mayDuplicate;
+        in.calls.add(call);
+        in.callsOut++;
+        if (in.answered || second || until <= now) {
+            if (second) {
+                LOG.severe("the module asked for a second call of a job that has one out; not sent");
+            }
+            end(call, Outcome.NOT_SENT, null);
+            return;
+        }
+        call.timer = timers.at(until, () -> expire(call));
+        call.handle = providers.send(call);
+    }
+
+    /** The module's actions, kept until it has heard all events of the turn. */
+    private final class Buffered implements Actions {
+
+        @Override
+        public void send(String jobId, String workerId, long limitNs) {
+            actions.add(() -> Gateway.this.send(jobId, workerId, limitNs));
+        }
+
+        @Override
+        public void cancel(String jobId, int attempt) {
+            actions.add(() -> {
+                Invocation in = open.get(jobId);
+                if (in != null && attempt < in.calls.size()) {
+                    giveUp(in.calls.get(attempt), Outcome.CANCELLED);
+                }
+            });
+        }
+
+        @Override
+        public void refuse(String jobId, long retryAfterNs) {
+            conclude(jobId, in -> in.consumer.reject(retryAfterNs / NANOS));
+        }
+
+        @Override
+        public void fail(String jobId) {
+            conclude(jobId, in -> in.consumer.fail(timers.nowMicros() >= in.deadlineMicros));
+        }
+
+        private void conclude(String jobId, java.util.function.Consumer<Invocation> how) {
+            actions.add(() -> {
+                Invocation in = open.get(jobId);
+                if (in != null && !in.answered) {
+                    answer(in);
+                    how.accept(in);
+                }
+            });
+        }
+
+        @Override
+        public void probe(String workerId) {
+            actions.add(() -> providers.probe(workerId));
+        }
+
+        @Override
+        public void timer(String token, long inNs) {
+            actions.add(() -> timers.at(timers.nowMicros() + (inNs + NANOS - 1) / NANOS,
+                    () -> events.add(now -> module.timer(now, token))));
+        }
+
+        @Override
+        public void watch() {
+            // The daemon watches the list from its start on, whether asked to or not.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/gateway/InvokerCall.java
@@ -0,0 +1,43 @@
+package postgrade.gateway;
+
+import postgrade.Dispatcher.Outcome;
+
+/** One attempt of an invocation at one provider. */
+public final class InvokerCall {
+    final Invocation invocation;
+    final int number;
+    final String providerId;
+    final long untilMicros;
+    Providers.Handle handle;
+    Timers.Timer timer;
+    boolean givingUp;
+    Outcome end;
+
+    InvokerCall(Invocation invocation, int number, String providerId, long untilMicros) {
+        this.invocation = invocation;
+        this.number = number;
+        this.providerId = providerId;
+        this.untilMicros = untilMicros;
+    }
+
+    public String id() {
+        return invocation.id;
+    }
+
+    public String providerId() {
+        return providerId;
+    }
+
+    public Payload payload() {
+        return invocation.payload;
+    }
+
+    /** When we stop waiting for it. */
+    public long untilMicros() {
+        return untilMicros;
+    }
+
+    boolean out() {
+        return end == null;
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/http/Connection.java
@@ -0,0 +1,226 @@
+package postgrade.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+
+/** One TCP connection on the loop. Its owner hears what comes in and when it ends; writes are kept until sent. */
+public final class Connection implements Reactor.Handler {
+
+    /** Who owns the connection. */
+    public interface Owner {
+        /** A connect of ours has come up. */
+        default void connected(Connection c) { }
+
+        /** Bytes have come; what the owner leaves in the buffer is lost. */
+        void received(Connection c, ByteBuffer bytes) throws BadMessage;
+
+        /** The peer has ended its side. The connection is closed right after, and {@link #closed} follows. */
+        default void ended(Connection c) { }
+
+        /** What came is not a message. The owner may answer; the connection is closed once that is written. */
+        default void bad(Connection c, BadMessage e) { }
+
+        /** The connection is gone, unless the owner closed it itself. */
+        void closed(Connection c);
+    }
+
+    private final Reactor reactor;
+    private final SocketChannel channel;
+    private final Owner owner;
+    private final boolean urgent;
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private SelectionKey key;
+    private boolean connecting;
+    private boolean closing;
+    private boolean closed;
+
+    private Connection(Reactor reactor, SocketChannel channel, Owner owner, boolean urgent) {
+        this.reactor = reactor;
+        this.channel = channel;
+        this.owner = owner;
+        this.urgent = urgent;
+    }
+
+    /** Wraps an accepted channel, whose place in the budget is taken already. */
+    public static Connection accepted(Reactor reactor, SocketChannel channel, Owner owner) throws IOException {
+        Connection c = new Connection(reactor, channel, owner, false);
+        c.begin(SelectionKey.OP_READ);
+        return c;
+    }
+
+    /** Begins to connect. Null if the budget has no socket or the system refuses at once. */
+    public static Connection open(Reactor reactor, InetSocketAddress to, Owner owner, boolean urgent) {
+        if (!reactor.sockets().take()) {
+            return null;
+        }
+        Connection c = null;
+        try {
+            c = new Connection(reactor, SocketChannel.open(), owner, urgent);
+            c.connecting = true;
+            c.begin(SelectionKey.OP_CONNECT);
+            c.channel.connect(to); // Also one that comes up at once is told of in the next turn.
+            return c;
+        } catch (IOException | RuntimeException e) {
+            if (c == null) {
+                reactor.sockets().giveBack();
+            } else {
+                c.close();
+            }
+            return null;
+        }
+    }
+
+    private void begin(int interest) throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        key = reactor.register(channel, interest, this);
+    }
+
+    @Override
+    public boolean urgent() {
+        return urgent;
+    }
+
+    @Override
+    public void ready(SelectionKey ready) throws IOException {
+        if (connecting) {
+            channel.finishConnect();
+            connecting = false;
+            key.interestOps(SelectionKey.OP_READ);
+            owner.connected(this);
+            if (!closed && !unsent.isEmpty()) {
+                flush();
+            }
+            return;
+        }
+        if (ready.isWritable()) {
+            flush();
+        }
+        if (!closed && ready.isReadable()) {
+            read();
+        }
+    }
+
+    private void read() throws IOException {
+        ByteBuffer in = reactor.readBuffer();
+        in.clear();
+        int count = channel.read(in);
+        if (count < 0) {
+            owner.ended(this);
+            gone();
+        } else if (count > 0 && !closing) {
+            in.flip();
+            try {
+                owner.received(this, in);
+            } catch (BadMessage e) {
+                // Guards the loop and the peer's next bytes: nothing after a bad message can be made sense of.
+                owner.bad(this, e);
+                closeWhenSent();
+            }
+        }
+    }
+
+    /** False if the peer has closed an idle connection, though the loop has not come to it yet. */
+    public boolean stillOpen() {
+        if (closed) {
+            return false;
+        }
+        try {
+            return channel.read(ByteBuffer.allocate(1)) == 0; // The loop's buffer may be in use.
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Sends the bytes now or as soon as the peer takes them. */
+    public void write(byte[] bytes) {
+        if (closed) {
+            return;
+        }
+        unsent.add(ByteBuffer.wrap(bytes));
+        if (unsent.size() == 1 && !connecting) {
+            try {
+                flush();
+            } catch (IOException e) {
+                // The read side will tell of the break; nothing of the owner's runs inside its own call.
+                unsent.clear();
+                unsent.add(ByteBuffer.wrap(bytes));
+            }
+        }
+    }
+
+    private void flush() throws IOException {
+        while (!unsent.isEmpty()) {
+            channel.write(unsent.peek());
+            if (unsent.peek().hasRemaining()) {
+                break;
+            }
+            unsent.poll();
+        }
+        if (unsent.isEmpty() && closing) {
+            close();
+        } else {
+            key.interestOps(SelectionKey.OP_READ | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+        }
+    }
+
+    /** All that was to be written has been given to the system, the last byte too. */
+    public boolean allSent() {
+        return !connecting && unsent.isEmpty();
+    }
+
+    public boolean isOpen() {
+        return !closed;
+    }
+
+    /** An idle connection may be closed for a new one when sockets are short. */
+    public void idle(boolean isIdle) {
+        if (!closed) {
+            reactor.sockets().idle(this, isIdle);
+        }
+    }
+
+    public void closeWhenSent() {
+        closing = true;
+        if (unsent.isEmpty()) {
+            close();
+        }
+    }
+
+    @Override
+    public void failed(Exception e) {
+        gone();
+    }
+
+    /** Closed for want of sockets; the owner is told. */
+    void evict() {
+        gone();
+    }
+
+    private void gone() {
+        if (!closed) {
+            close();
+            owner.closed(this);
+        }
+    }
+
+    /** Closes at once; the owner is not told. */
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        reactor.sockets().idle(this, false);
+        reactor.sockets().giveBack();
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // There is nothing more to be had of a channel that cannot even be closed.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/http/Message.java
@@ -0,0 +1,60 @@
+package postgrade.http;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One request or response. Header names are kept in lower case. */
+public final class Message {
+    /** Of a request; null in a response. */
+    String method;
+    String target;
+    /** Of a response; 0 in a request. */
+    int status;
+    boolean http10;
+    byte[] body = {};
+    final List<String> names = new ArrayList<>(12);
+    final List<String> values = new ArrayList<>(12);
+
+    Message() { }
+
+    public String method() {
+        return method;
+    }
+
+    public String target() {
+        return target;
+    }
+
+    public int status() {
+        return status;
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    /** The value of the first header of this name (in lower case), or null. */
+    public String header(String name) {
+        int at = names.indexOf(name);
+        return at < 0 ? null : values.get(at);
+    }
+
+    /** Whether one of a header's comma-separated values is this word, in any case. */
+    boolean lists(String name, String word) {
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).equals(name)) {
+                for (String part : values.get(i).split(",")) {
+                    if (part.strip().equalsIgnoreCase(word)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** The connection stays open after this message. */
+    public boolean keepsAlive() {
+        return http10 ? lists("connection", "keep-alive") : !lists("connection", "close");
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -0,0 +1,262 @@
+package postgrade.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.Consumer;
+
+/**
+ * Reads messages from bytes as they come, one at a time. Every part is bounded, so that no peer can make us hold
+ * more than a head and a body of the greatest length.
+ */
+public final class MessageParser {
+
+    public static final int MOST_BODY = 64 << 10;
+    static final int MOST_HEAD = 16 << 10;
+    static final int MOST_HEADERS = 64;
+
+    private enum Part { START_LINE, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
+
+    private final boolean requests;
+    private final Consumer<byte[]> stream;
+    private Part part = Part.START_LINE;
+    private Message message = new Message();
+    private final byte[] line = new byte[MOST_HEAD];
+    private int lineLength;
+    private int headLength;
+    private long left;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+
+    private MessageParser(boolean requests, Consumer<byte[]> stream) {
+        this.requests = requests;
+        this.stream = stream;
+    }
+
+    public static MessageParser ofRequests() {
+        return new MessageParser(true, null);
+    }
+
+    public static MessageParser ofResponses() {
+        return new MessageParser(false, null);
+    }
+
+    /** Reads one response whose body has no bound; its pieces go to the consumer as they come. */
+    public static MessageParser ofStream(Consumer<byte[]> pieces) {
+        return new MessageParser(false, pieces);
+    }
+
+    /** Nothing of a next message has been read. */
+    public boolean atStart() {
+        return part == Part.START_LINE && lineLength == 0;
+    }
+
+    /** Takes bytes up to the end of one message at most; returns it once it is whole, null until then. */
+    public Message parse(ByteBuffer in) throws BadMessage {
+        while (in.hasRemaining()) {
+            boolean whole = switch (part) {
+                case BODY, TO_THE_END, CHUNK -> takeBody(in);
+                default -> takeLine(in) && endLine();
+            };
+            if (whole) {
+                return finish();
+            }
+        }
+        return null;
+    }
+
+    /** The peer has ended its side: a response without a length ends here. Null if this cuts a message short. */
+    public Message atEnd() {
+        return part == Part.TO_THE_END ? finish() : null;
+    }
+
+    private Message finish() {
+        Message whole = message;
+        whole.body = body.toByteArray();
+        message = new Message();
+        body.reset();
+        part = Part.START_LINE;
+        headLength = 0;
+        return whole;
+    }
+
+    private boolean takeLine(ByteBuffer in) throws BadMessage {
+        while (in.hasRemaining()) {
+            byte b = in.get();
+            if (b == '\n') {
+                if (lineLength > 0 && line[lineLength - 1] == '\r') {
+                    lineLength--;
+                }
+                return true;
+            }
+            if (++headLength > MOST_HEAD) {
+                throw new BadMessage(431, "head too large");
+            }
+            line[lineLength++] = b;
+        }
+        return false;
+    }
+
+    /** True if the message is whole with this line. */
+    private boolean endLine() throws BadMessage {
+        String text = new String(line, 0, lineLength, StandardCharsets.ISO_8859_1);
+        lineLength = 0;
+        switch (part) {
+            case START_LINE -> {
+                if (!text.isEmpty()) { // Blank lines before a message are allowed, and count to its head.
+                    startLine(text);
+                    part = Part.HEADERS;
+                }
+                return false;
+            }
+            case HEADERS -> {
+                if (text.isEmpty()) {
+                    return endHead();
+                }
+                header(text);
+                return false;
+            }
+            case CHUNK_SIZE -> {
+                chunkSize(text);
+                return false;
+            }
+            case CHUNK_END -> {
+                if (!text.isEmpty()) {
+                    throw new BadMessage(400, "chunk longer than its size");
+                }
+                part = Part.CHUNK_SIZE;
+                headLength = 0;
+                return false;
+            }
+            default -> {
+                return text.isEmpty(); // The end of the trailers, which are passed over.
+            }
+        }
+    }
+
+    private void startLine(String text) throws BadMessage {
+        String[] words = text.split(" ", 3);
+        String version = requests ? words[words.length - 1] : words[0];
+        if (words.length < (requests ? 3 : 2) || !version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+            throw new BadMessage(400, "not a start line of HTTP/1.1");
+        }
+        message.http10 = version.equals("HTTP/1.0");
+        if (requests) {
+            if (!token(words[0]) || words[1].isEmpty() || words[1].chars().anyMatch(c -> c <= ' ' || c > '~')) {
+                throw new BadMessage(400, "bad method or target");
+            }
+            message.method = words[0];
+            message.target = words[1];
+        } else {
+            message.status = (int) number(words[1], 10, 999, 400);
+            if (message.status < 100) {
+                throw new BadMessage(400, "bad status");
+            }
+        }
+    }
+
+    private void header(String text) throws BadMessage {
+        int colon = text.indexOf(':');
+        if (colon < 0 || !token(text.substring(0, colon))) {
+            throw new BadMessage(400, "bad header line"); // Folded lines among them.
+        }
+        if (message.names.size() == MOST_HEADERS) {
+            throw new BadMessage(431, "too many headers");
+        }
+        String value = text.substring(colon + 1).strip();
+        if (value.chars().anyMatch(c -> c < ' ' && c != '\t')) {
+            // Guards what is passed on: a stray control character could split the head we write.
+            throw new BadMessage(400, "control character in a header");
+        }
+        message.names.add(text.substring(0, colon).toLowerCase(Locale.ROOT));
+        message.values.add(value);
+    }
+
+    /** True if the message has no body. */
+    private boolean endHead() throws BadMessage {
+        boolean chunked = message.header("transfer-encoding") != null;
+        if (chunked && !message.header("transfer-encoding").equalsIgnoreCase("chunked")) {
+            throw new BadMessage(400, "transfer encoding not known");
+        }
+        long length = length();
+        if (chunked && length >= 0) {
+            // Guards against smuggling: two readings of where the message ends.
+            throw new BadMessage(400, "both a length and a transfer encoding");
+        }
+        if (!requests && (message.status < 200 || message.status == 204 || message.status == 304)) {
+            if (message.status < 200) { // An interim response: the real one follows.
+                finish();
+                return false;
+            }
+            return true;
+        }
+        if (chunked) {
+            part = Part.CHUNK_SIZE;
+            headLength = 0;
+        } else if (length > 0) {
+            part = Part.BODY;
+            left = length;
+        } else if (length < 0 && !requests) {
+            part = Part.TO_THE_END;
+            left = Long.MAX_VALUE;
+        }
+        return part == Part.HEADERS;
+    }
+
+    private long length() throws BadMessage {
+        long length = -1;
+        for (int i = 0; i < message.names.size(); i++) {
+            if (message.names.get(i).equals("content-length")) {
+                long next = number(message.values.get(i), 10, MOST_BODY, 413);
+                if (length >= 0 && next != length) {
+                    throw new BadMessage(400, "two lengths");
+                }
+                length = next;
+            }
+        }
+        return length;
+    }
+
+    private void chunkSize(String text) throws BadMessage {
+        int end = text.indexOf(';');
+        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16, MOST_BODY, 413);
+        part = left == 0 ? Part.TRAILERS : Part.CHUNK;
+        headLength = left == 0 ? headLength : 0;
+    }
+
+    /** True if the message is whole with these bytes. */
+    private boolean takeBody(ByteBuffer in) throws BadMessage {
+        byte[] piece = new byte[(int) Math.min(left, in.remaining())];
+        in.get(piece);
+        left -= part == Part.TO_THE_END ? 0 : piece.length;
+        if (stream != null) {
+            stream.accept(piece);
+        } else if (body.size() + piece.length > MOST_BODY) {
+            throw new BadMessage(413, "body too large");
+        } else {
+            body.write(piece, 0, piece.length);
+        }
+        if (left == 0 && part == Part.CHUNK) {
+            part = Part.CHUNK_END;
+        }
+        return left == 0 && part == Part.BODY;
+    }
+
+    private long number(String text, int radix, long most, int statusAbove) throws BadMessage {
+        if (text.isEmpty() || text.chars().anyMatch(c -> Character.digit(c, radix) < 0 || c > 'f')) {
+            throw new BadMessage(400, "not a number where one is due");
+        }
+        long value = 0;
+        for (int i = 0; i < text.length(); i++) {
+            value = value * radix + Character.digit(text.charAt(i), radix);
+            if (value > most) {
+                throw new BadMessage(statusAbove, "too large a number");
+            }
+        }
+        return value;
+    }
+
+    private static boolean token(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127 && "()<>@,;:\\\"/[]?={}".indexOf(c) < 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/http/SocketBudget.java
@@ -0,0 +1,47 @@
+package postgrade.http;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+
+/**
+ * One budget for the sockets of all peers. Guards against running out of descriptors, which would fail accepts and
+ * connects alike: when it is used up, the connection that has been idle longest is closed for a new one.
+ */
+public final class SocketBudget {
+
+    private final int most;
+    private int open;
+    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
+
+    public SocketBudget(int most) {
+        this.most = most;
+    }
+
+    /** Takes a place, if need be by closing an idle connection. False if all are busy. */
+    public boolean take() {
+        if (open >= most) {
+            Iterator<Connection> oldest = idle.iterator();
+            if (!oldest.hasNext()) {
+                return false;
+            }
+            oldest.next().evict();
+        }
+        open++;
+        return true;
+    }
+
+    public void giveBack() {
+        open--;
+    }
+
+    void idle(Connection c, boolean isIdle) {
+        idle.remove(c);
+        if (isIdle) {
+            idle.add(c);
+        }
+    }
+
+    public int open() {
+        return open;
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/provider/Link.java
@@ -0,0 +1,98 @@
+package postgrade.provider;
+
+import java.nio.ByteBuffer;
+import postgrade.gateway.Timers;
+import postgrade.http.BadMessage;
+import postgrade.http.Connection;
+import postgrade.http.Message;
+import postgrade.http.MessageParser;
+
+/** One connection to a provider. It carries one request at a time and never sends one again. */
+final class Link implements Connection.Owner {
+    final Pool pool;
+    final MessageParser parser = MessageParser.ofResponses();
+    Connection connection;
+    Request request;
+    Timers.Timer timer;
+    boolean up;
+
+    Link(Pool pool) {
+        this.pool = pool;
+    }
+
+    void carry(Request r) {
+        request = r;
+        r.link = this;
+        connection.idle(false);
+        connection.write(r.bytes());
+    }
+
+    @Override
+    public void connected(Connection c) {
+        pool.cameUp(this);
+    }
+
+    @Override
+    public void received(Connection c, ByteBuffer bytes) throws BadMessage {
+        Message response = parser.parse(bytes);
+        if (response != null) {
+            finish(response, bytes.hasRemaining());
+        }
+    }
+
+    private void finish(Message response, boolean more) {
+        Request done = request;
+        request = null;
+        if (done == null || more || !response.keepsAlive() || !connection.allSent()) {
+            // Guards the next request: bytes that nobody asked for would be taken for its response.
+            connection.close();
+            pool.dropped(this);
+        } else {
+            pool.free(this);
+        }
+        if (done != null) {
+            done.link = null;
+            done.over = true;
+            done.answered(response);
+        }
+    }
+
+    @Override
+    public void ended(Connection c) {
+        Message response = parser.atEnd();
+        if (response != null) {
+            finish(response, true);
+        }
+    }
+
+    @Override
+    public void closed(Connection c) {
+        fail();
+    }
+
+    /** Closes the connection; what it carried is told how far it had come. */
+    void fail() {
+        boolean written = connection.allSent();
+        connection.close();
+        pool.dropped(this);
+        if (!up) {
+            pool.connectFailed();
+        }
+        Request lost = request;
+        request = null;
+        if (lost != null) {
+            lost.link = null;
+            lost.over = true;
+            lost.broken(written ? Request.Break.AFTER_LAST_BYTE : Request.Break.NEVER_WRITTEN);
+        }
+    }
+
+    /** Closes the connection under a request that has been given up; the request hears nothing. */
+    void abort() {
+        request.over = true;
+        request.link = null;
+        request = null;
+        connection.close();
+        pool.dropped(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/provider/Pool.java
@@ -0,0 +1,118 @@
+package postgrade.provider;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import postgrade.gateway.Timers;
+import postgrade.http.Connection;
+import postgrade.http.Reactor;
+
+/** The connections to one provider. A request takes an idle one, else waits for the one it has opened. */
+final class Pool {
+    private final Reactor reactor;
+    private final Timers timers;
+    private final long connectTimeoutMicros;
+    private final long retireMicros;
+    final String id;
+    InetSocketAddress address;
+    boolean ready;
+    /** Calls, and requests that give up, which keep the pool although the list has dropped the provider. */
+    int users;
+    private final ArrayDeque<Link> idle = new ArrayDeque<>();
+    private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+    private int connecting;
+
+    Pool(String id, Reactor reactor, Timers timers, long connectTimeoutMicros, long retireMicros) {
+        this.id = id;
+        this.reactor = reactor;
+        this.timers = timers;
+        this.connectTimeoutMicros = connectTimeoutMicros;
+        this.retireMicros = retireMicros;
+    }
+
+    String host() {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    void send(Request r) {
+        for (Link link = idle.pollLast(); link != null; link = idle.pollLast()) {
+            link.timer.cancel();
+            // Guards against a connection that its provider has closed since the loop last looked at it.
+            if (link.connection.stillOpen()) {
+                link.carry(r);
+                return;
+            }
+            link.fail();
+        }
+        Link link = new Link(this);
+        link.connection = Connection.open(reactor, address, link, false);
+        if (link.connection == null) {
+            r.over = true;
+            r.broken(Request.Break.NEVER_WRITTEN);
+            return;
+        }
+        connecting++;
+        waiting.add(r);
+        link.timer = timers.at(timers.nowMicros() + connectTimeoutMicros, link::fail);
+    }
+
+    /** A link has come up or has been answered. */
+    void free(Link link) {
+        if (waiting.isEmpty()) {
+            idle.add(link);
+            link.connection.idle(true);
+            // Guards against the provider's own closing of idle connections: what is written then is reset.
+            link.timer = timers.at(timers.nowMicros() + retireMicros, link::fail);
+        } else {
+            link.carry(waiting.poll());
+        }
+    }
+
+    void cameUp(Link link) {
+        link.up = true;
+        link.timer.cancel();
+        connecting--;
+        free(link);
+    }
+
+    void dropped(Link link) {
+        idle.remove(link);
+        link.timer.cancel();
+        connecting -= link.up ? 0 : 1;
+    }
+
+    /** A connect failed: the request that has waited longest has lost its connection, unless another is due. */
+    void connectFailed() {
+        if (waiting.size() > connecting) {
+            Request r = waiting.poll();
+            r.over = true;
+            r.broken(Request.Break.NEVER_WRITTEN);
+        }
+    }
+
+    void withdraw(Request r) {
+        waiting.remove(r);
+        r.over = true;
+    }
+
+    /** Guards the drain rule: new work that still waits for a connection must not leave once it is up. */
+    void drain() {
+        ready = false;
+        for (Request r : new ArrayList<>(waiting)) {
+            if (r.isNewWork()) {
+                withdraw(r);
+                r.broken(Request.Break.DRAINED);
+            }
+        }
+    }
+
+    void closeIdle() {
+        for (Link link : new ArrayList<>(idle)) {
+            link.fail();
+        }
+    }
+
+    boolean unused() {
+        return users == 0 && waiting.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/postgrade/provider/ProviderPools.java
@@ -0,0 +1,331 @@
+package postgrade.provider;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+import postgrade.Dispatcher.Outcome;
+import postgrade.gateway.Gateway;
+import postgrade.gateway.InvokerCall;
+import postgrade.gateway.Payload;
+import postgrade.gateway.Providers;
+import postgrade.gateway.Timers;
+import postgrade.http.Message;
+import postgrade.http.MessageWriter;
+import postgrade.http.Reactor;
+
+/** Speaks to the providers: sends calls, gives them up, probes. */
+public final class ProviderPools implements Providers {
+
+    private static final Logger LOG = Logger.getLogger(ProviderPools.class.getName());
+    /** Idle connections are retired after this part of the time after which providers close them. */
+    private static final double RETIRE = 0.6;
+    private static final long PROBE_MICROS = 300_000;
+    /** A call ended by its call-back leaves its connection once the 202 comes, which is due by then. */
+    private static final long ANSWER_MICROS = 1_000_000;
+    /** How long one DELETE may take, and the pause before the next. */
+    private static final long GIVE_UP_MICROS = 400_000;
+    private static final long AGAIN_MICROS = 50_000;
+
+    private final Reactor reactor;
+    private final Timers timers;
+    private final Gateway gateway;
+    private final long connectTimeoutMicros;
+    private final long retireMicros;
+    private final Map<String, Pool> pools = new HashMap<>();
+    private int givingUp;
+
+    public ProviderPools(Gateway gateway, Reactor reactor, Timers timers, long connectTimeoutMicros,
+            long idleMicros) {
+        this.gateway = gateway;
+        this.reactor = reactor;
+        this.timers = timers;
+        this.connectTimeoutMicros = connectTimeoutMicros;
+        retireMicros = (long) (idleMicros * RETIRE);
+    }
+
+    // ---- The list.
+
+    /** Applies a change of the list, before the module hears of it. A whole list drops what it lacks. */
+    public void list(boolean whole, List<Target> targets) {
+        Set<String> named = new HashSet<>();
+        for (Target t : targets) {
+            named.add(t.id());
+            Pool pool = pools.computeIfAbsent(t.id(), id -> new Pool(id, reactor, timers, connectTimeoutMicros,
+                    retireMicros));
+            if (pool.address != null && !pool.address.equals(t.address())) {
+                pool.closeIdle();
+            }
+            pool.address = t.address() == null ? pool.address : t.address(); // One that is gone may have none.
+            state(pool, t.ready());
+        }
+        if (whole) {
+            pools.values().stream().filter(p -> !named.contains(p.id)).forEach(p -> state(p, false));
+        }
+        pools.values().removeIf(p -> !p.ready && p.unused());
+    }
+
+    private void state(Pool pool, boolean ready) {
+        if (ready != pool.ready) {
+            LOG.info("provider " + pool.id + (ready ? " ready" : " takes no new work"));
+        }
+        if (ready) {
+            pool.ready = true;
+        } else {
+            pool.drain();
+            pool.closeIdle();
+        }
+    }
+
+    public long readyCount() {
+        return pools.values().stream().filter(p -> p.ready).count();
+    }
+
+    // ---- Calls.
+
+    @Override
+    public Handle send(InvokerCall call) {
+        Pool pool = pools.get(call.providerId());
+        if (pool == null || !pool.ready) {
+            gateway.ended(call, Outcome.NOT_SENT);
+            return new Call(null, call, new byte[0]);
+        }
+        Payload p = call.payload();
+        byte[] bytes = MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
+                .header("X-Request-Id", call.id())
+                .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
+                .header("Content-Type", p.contentType()).body(p.body());
+        Call sent = new Call(pool, call, bytes);
+        pool.users++;
+        pool.send(sent);
+        return sent;
+    }
+
+    /** No attempt is still being given up on the wire. */
+    public boolean quiet() {
+        return givingUp == 0;
+    }
+
+    private final class Call extends Request implements Handle {
+        private final Pool pool;
+        private final InvokerCall call;
+        private boolean accepted;
+        private boolean reached;
+        private boolean ended;
+        private boolean givenUp;
+
+        Call(Pool pool, InvokerCall call, byte[] bytes) {
+            super(bytes);
+            this.pool = pool;
+            this.call = call;
+        }
+
+        @Override
+        boolean isNewWork() {
+            return true;
+        }
+
+        private void end(Outcome outcome) {
+            if (!ended) {
+                ended = true;
+                pool.users--;
+                gateway.ended(call, outcome);
+            }
+        }
+
+        @Override
+        void answered(Message response) {
+            boolean neverRan = "1".equals(response.header("x-not-run"));
+            switch (response.status()) {
+                case 202 -> accepted = true; // Its end comes by a call-back.
+                case 503, 504 -> end(neverRan ? Outcome.FULL : Outcome.ERROR);
+                default -> end(Outcome.ERROR);
+            }
+        }
+
+        @Override
+        void broken(Break how) {
+            reached = how == Break.AFTER_LAST_BYTE;
+            end(switch (how) {
+                case NEVER_WRITTEN -> Outcome.UNREACHABLE;
+                case DRAINED -> Outcome.NOT_SENT;
+                case AFTER_LAST_BYTE -> Outcome.RESET;
+            });
+        }
+
+        @Override
+        public boolean mayReport() {
+            return accepted || reached;
+        }
+
+        @Override
+        public void ended() {
+            if (!ended) {
+                ended = true;
+                pool.users--;
+                leave();
+            }
+        }
+
+        /** The call is over though its request may be under way: its connection is freed by the 202. */
+        private void leave() {
+            if (!over && link == null) {
+                pool.withdraw(this);
+            } else if (link != null) {
+                timers.at(timers.nowMicros() + ANSWER_MICROS, () -> {
+                    if (link != null) {
+                        link.abort();
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void giveUp(Runnable done) {
+            if (givenUp || ended) {
+                return;
+            }
+            givenUp = true;
+            ended = true;
+            boolean begun = accepted;
+            if (!over && link == null) {
+                pool.withdraw(this);
+            } else if (link != null) {
+                // Closing may cross with a 202, which would leave the job running: a DELETE follows all the same.
+                begun = written();
+                link.abort();
+            }
+            if (begun) {
+                reached = true;
+                new GiveUp(pool, call, done).send();
+            } else {
+                pool.users--;
+                done.run();
+            }
+        }
+    }
+
+    /**
+     * DELETE of one job, again until it is answered or its provider refuses connections. Guards against two
+     * calls out: until then the provider may still run the job, and nothing is told.
+     */
+    private final class GiveUp {
+        private final Pool pool;
+        private final InvokerCall call;
+        private final Runnable done;
+        private boolean told;
+
+        GiveUp(Pool pool, InvokerCall call, Runnable done) {
+            this.pool = pool;
+            this.call = call;
+            this.done = done;
+            givingUp++;
+        }
+
+        void send() {
+            Delete delete = new Delete();
+            timers.at(timers.nowMicros() + GIVE_UP_MICROS, () -> delete.expire(pool));
+            pool.send(delete);
+        }
+
+        private void finish() {
+            if (!told) {
+                told = true;
+                givingUp--;
+                pool.users--;
+                done.run();
+            }
+        }
+
+        private void again() {
+            if (timers.nowMicros() >= call.untilMicros()) {
+                finish(); // The consumer has its answer by now and nothing will be sent again.
+            } else {
+                timers.at(timers.nowMicros() + AGAIN_MICROS, this::send);
+            }
+        }
+
+        private final class Delete extends Request {
+            Delete() {
+                super(MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody());
+            }
+
+            @Override
+            boolean isNewWork() {
+                return false;
+            }
+
+            @Override
+            void answered(Message response) {
+                finish();
+            }
+
+            @Override
+            void broken(Break how) {
+                again();
+            }
+
+            void expire(Pool from) {
+                if (!over) {
+                    if (link == null) {
+                        from.withdraw(this);
+                    } else {
+                        link.abort();
+                    }
+                    again();
+                }
+            }
+        }
+    }
+
+    // ---- Probes.
+
+    @Override
+    public void probe(String providerId) {
+        Pool pool = pools.get(providerId);
+        if (pool == null || !pool.ready) {
+            gateway.probed(providerId, false);
+            return;
+        }
+        Probe probe = new Probe(pool);
+        timers.at(timers.nowMicros() + PROBE_MICROS, probe::expire);
+        pool.send(probe);
+    }
+
+    private final class Probe extends Request {
+        private final Pool pool;
+
+        Probe(Pool pool) {
+            super(MessageWriter.request("GET", "/-/healthy").header("Host", pool.host()).noBody());
+            this.pool = pool;
+        }
+
+        @Override
+        boolean isNewWork() {
+            return true;
+        }
+
+        @Override
+        void answered(Message response) {
+            gateway.probed(pool.id, response.status() == 200);
+        }
+
+        @Override
+        void broken(Break how) {
+            gateway.probed(pool.id, false);
+        }
+
+        void expire() {
+            if (!over) {
+                if (link == null) {
+                    pool.withdraw(this);
+                } else {
+                    link.abort();
+                }
+                gateway.probed(pool.id, false);
+            }
+        }
+    }
+}
