--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -469,7 +469,9 @@
 
     /** No attempt is out and the client still waits: another attempt, or the final answer. */
     private void next(long nowNs, Held h, Attempt a, Outcome outcome) {
-        boolean over = h.deadlineNs - nowNs <= SWEEP_NS || outcome == Outcome.NOT_SENT || h.streaming
+        // Not sent to a worker that is leaving says nothing of the job: another worker may take it.
+        boolean moot = outcome == Outcome.NOT_SENT && a.node.ready;
+        boolean over = h.deadlineNs - nowNs <= SWEEP_NS || moot || h.streaming
                 || !a.neverRan && (h.cls.is.effect() == Effect.UNSAFE || ownFault(h) > OWN_FAULT)
                 || outcome == Outcome.RESET && ++h.resets == MOST_RESETS;
         boolean paid = a.neverRan || a.called && outcome == Outcome.CANCELLED;
--- a/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -22,6 +22,8 @@
     /** A request must be whole, and an answer taken, within this time; guards against peers that trickle. */
     private static final long STALL_MICROS = 15_000_000;
     private static final long IDLE_MICROS = 300_000_000;
+    /** A peer that was told of the connection's end has this time to end its own side. */
+    private static final long LINGER_MICROS = 2_000_000;
     /** Bytes kept of requests that come before the one ahead of them is answered. */
     private static final int MOST_AHEAD = MessageParser.MOST_BODY * 2;
 
@@ -58,7 +60,7 @@
     /** Takes requests one after another, as long as each is answered at once. */
     private void parse(ByteBuffer bytes) throws BadMessage {
         parsing = true;
-        while (exchange == null && bytes.hasRemaining() && connection.isOpen()) {
+        while (exchange == null && bytes.hasRemaining() && connection.isOpen() && !connection.isClosing()) {
             Message request = parser.parse(bytes);
             if (request != null) {
                 handle(request);
@@ -135,9 +137,6 @@
                 .header("Connection", keep ? null : "close").body(body));
         if (!keep) {
             connection.closeWhenSent();
-            if (!connection.isOpen()) {
-                listener.closed(this);
-            }
         }
     }
 
@@ -146,7 +145,7 @@
     }
 
     void sweep(long nowMicros) {
-        long most = busy() ? STALL_MICROS : IDLE_MICROS;
+        long most = connection.isClosing() ? LINGER_MICROS : busy() ? STALL_MICROS : IDLE_MICROS;
         if (exchange == null && nowMicros - activeMicros > most) {
             connection.close();
         }
@@ -212,10 +211,10 @@
             write(status, body, retryAfter, keepsAlive);
             if (!parsing && connection.isOpen()) {
                 try {
+                    // A consumer may have sent its next request already.
                     parse(ahead);
                 } catch (BadMessage e) {
                     bad(connection, e);
-                    connection.closeWhenSent();
                 }
             }
         }
--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/src/main/java/postgrade/consumer/Listener.java
@@ -60,7 +60,7 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        while (reactor.sockets().take()) {
+        while (reactor.sockets().takeToAccept()) {
             boolean kept = false;
             SocketChannel accepted = channel.accept();
             try {
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -3,7 +3,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
+import java.util.logging.Level;
 import java.util.logging.Logger;
+import postgrade.Decide;
+import postgrade.Dispatcher;
+import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Phase;
 import postgrade.Dispatcher.Worker;
@@ -36,8 +41,13 @@
     private long stopFromMicros;
 
     Daemon(Config config) throws IOException {
+        this(config, actions -> new Decide(config.settings, config.seed, actions), Watch.SILENT_MICROS);
+    }
+
+    /** With another module in the place of ours, and another patience with discovery. */
+    Daemon(Config config, Function<Actions, Dispatcher> module, long silentMicros) throws IOException {
         loop = new Loop(new SocketBudget(config.sockets));
-        gateway = new Gateway(config.settings, config.seed, config.mostHeld, loop);
+        gateway = new Gateway(module, config.settings.mayDuplicate, config.mostHeld, loop);
         providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
         gateway.connect(providers);
         if (config.known != null) {
@@ -45,8 +55,8 @@
         }
         listener = new Listener(config.listen, config.deadlineMicros, () -> providers.readyCount() > 0, gateway, loop,
                 loop);
-        watch = new Watch(config.discovery, config.name, config.known == null ? 0 : config.known.version(), loop,
-                loop, list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
+        watch = new Watch(config.discovery, config.name, config.known == null ? 0 : config.known.version(), silentMicros,
+                loop, loop, list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
         thread = new Thread(null, this::run, "loop");
         LOG.info(config.name + " listens on " + config.listen + ", " + providers.readyCount()
                 + " providers known from before");
@@ -74,8 +84,9 @@
                     return gateway.pending();
                 }
             });
-        } catch (IOException e) {
-            LOG.severe("the selector failed: " + e);
+        } catch (IOException | RuntimeException | Error e) {
+            // Guards against a process that lives on without its loop: what restarts us must see it die.
+            LOG.log(Level.SEVERE, "the loop ended", e);
             Runtime.getRuntime().halt(1);
         }
     }
--- a/src/main/java/postgrade/daemon/Loop.java
+++ b/src/main/java/postgrade/daemon/Loop.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import postgrade.gateway.Timers;
@@ -40,7 +42,7 @@
     private long nowMicros = ORIGIN_MICROS;
     private long timerCount;
     private volatile boolean stopped;
-    private volatile Runnable asked;
+    private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>();
 
     Loop(SocketBudget sockets) throws IOException {
         this.sockets = sockets;
@@ -56,10 +58,8 @@
         while (!stopped) {
             select(turn.pending());
             nowMicros = ORIGIN_MICROS + (System.nanoTime() - startNanos) / 1000;
-            Runnable task = asked;
-            if (task != null) {
-                asked = null;
-                task.run();
+            for (Runnable task = asked.poll(); task != null; task = asked.poll()) {
+                guarded(task);
             }
             serve(new ArrayList<>(selector.selectedKeys()));
             selector.selectedKeys().clear();
@@ -127,7 +127,7 @@
 
     /** Runs a task on the loop's thread; may be called from any other. */
     void ask(Runnable task) {
-        asked = task;
+        asked.add(task);
         selector.wakeup();
     }
 
--- a/src/main/java/postgrade/discovery/Watch.java
+++ b/src/main/java/postgrade/discovery/Watch.java
@@ -23,7 +23,7 @@
 
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     /** An empty line is due every 2 s; discovery that is down keeps silent. */
-    private static final long SILENT_MICROS = 5_000_000;
+    public static final long SILENT_MICROS = 5_000_000;
     private static final long PAUSE_MICROS = 200_000;
     private static final long MOST_PAUSE_MICROS = 2_000_000;
     /** Guards the memory against a line that never ends. */
@@ -34,17 +34,22 @@
     private final Reactor reactor;
     private final Timers timers;
     private final Consumer<TargetList> taker;
+    private final long silentMicros;
     private long version;
     private long pauseMicros = PAUSE_MICROS;
     private Session session;
     private boolean lost;
 
-    /** @param version of the list known already, 0 for none */
-    public Watch(InetSocketAddress address, String host, long version, Reactor reactor, Timers timers,
-            Consumer<TargetList> taker) {
+    /**
+     * @param version of the list known already, 0 for none
+     * @param silentMicros a watch that brings nothing for so long is lost
+     */
+    public Watch(InetSocketAddress address, String host, long version, long silentMicros, Reactor reactor,
+            Timers timers, Consumer<TargetList> taker) {
         this.address = address;
         this.host = host;
         this.version = version;
+        this.silentMicros = silentMicros;
         this.reactor = reactor;
         this.timers = timers;
         this.taker = taker;
@@ -87,7 +92,7 @@
         private final MessageParser parser = MessageParser.ofStream(this::piece);
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Connection connection;
-        private Timers.Timer silence = timers.at(timers.nowMicros() + SILENT_MICROS, this::silent);
+        private Timers.Timer silence = timers.at(timers.nowMicros() + silentMicros, this::silent);
 
         @Override
         public void connected(Connection c) {
@@ -98,7 +103,7 @@
         @Override
         public void received(Connection c, ByteBuffer bytes) throws BadMessage {
             silence.cancel();
-            silence = timers.at(timers.nowMicros() + SILENT_MICROS, this::silent);
+            silence = timers.at(timers.nowMicros() + silentMicros, this::silent);
             try {
                 Message end = parser.parse(bytes);
                 if (end != null) {
--- a/src/main/java/postgrade/gateway/Gateway.java
+++ b/src/main/java/postgrade/gateway/Gateway.java
@@ -4,17 +4,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import postgrade.Decide;
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.Job;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Load;
 import postgrade.Dispatcher.Outcome;
-import postgrade.Dispatcher.Settings;
 import postgrade.Dispatcher.Worker;
 
 /**
@@ -44,12 +43,16 @@
     private Providers providers;
     private int waiting;
 
-    /** @param mostHeld the most invocations held at once; further ones are rejected at once */
-    public Gateway(Settings settings, long seed, int mostHeld, Timers timers) {
+    /**
+     * @param module makes the decision module, given where its actions go
+     * @param mayDuplicate two calls of one invocation may be out at once
+     * @param mostHeld the most invocations held at once; further ones are rejected at once
+     */
+    public Gateway(Function<Actions, Dispatcher> module, boolean mayDuplicate, int mostHeld, Timers timers) {
         this.timers = timers;
         this.mostHeld = mostHeld;
-        mayDuplicate = settings.mayDuplicate;
-        module = new Decide(settings, seed, new Buffered());
+        this.mayDuplicate = mayDuplicate;
+        this.module = module.apply(new Buffered());
     }
 
     /** To be called once, before the first turn. */
--- a/src/main/java/postgrade/http/Connection.java
+++ b/src/main/java/postgrade/http/Connection.java
@@ -22,8 +22,8 @@
         /** The peer has ended its side. The connection is closed right after, and {@link #closed} follows. */
         default void ended(Connection c) { }
 
-        /** What came is not a message. The owner may answer; the connection is closed once that is written. */
-        default void bad(Connection c, BadMessage e) { }
+        /** What came is not a message. The owner may answer, and must see to it that the connection is closed. */
+        void bad(Connection c, BadMessage e);
 
         /** The connection is gone, unless the owner closed it itself. */
         void closed(Connection c);
@@ -55,7 +55,7 @@
 
     /** Begins to connect. Null if the budget has no socket or the system refuses at once. */
     public static Connection open(Reactor reactor, InetSocketAddress to, Owner owner, boolean urgent) {
-        if (!reactor.sockets().take()) {
+        if (!reactor.sockets().takeToConnect()) {
             return null;
         }
         Connection c = null;
@@ -120,7 +120,6 @@
             } catch (BadMessage e) {
                 // Guards the loop and the peer's next bytes: nothing after a bad message can be made sense of.
                 owner.bad(this, e);
-                closeWhenSent();
             }
         }
     }
@@ -162,10 +161,9 @@
             }
             unsent.poll();
         }
+        key.interestOps(SelectionKey.OP_READ | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
         if (unsent.isEmpty() && closing) {
-            close();
-        } else {
-            key.interestOps(SelectionKey.OP_READ | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+            channel.shutdownOutput();
         }
     }
 
@@ -185,13 +183,26 @@
         }
     }
 
+    /**
+     * Ends our side once all is sent, and closes when the peer ends its own. Guards the last answer: a close with
+     * unread bytes waiting resets the connection, and the peer may lose what it has not read.
+     */
     public void closeWhenSent() {
+        if (closing || closed) {
+            return;
+        }
         closing = true;
-        if (unsent.isEmpty()) {
-            close();
+        try {
+            flush();
+        } catch (IOException e) {
+            // The read side will tell of the break.
         }
     }
 
+    public boolean isClosing() {
+        return closing;
+    }
+
     @Override
     public void failed(Exception e) {
         gone();
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.Consumer;
 
@@ -15,6 +16,7 @@
     public static final int MOST_BODY = 64 << 10;
     static final int MOST_HEAD = 16 << 10;
     static final int MOST_HEADERS = 64;
+    private static final int MOST_STREAM_CHUNK = 16 << 20;
 
     private enum Part { START_LINE, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
 
@@ -22,7 +24,7 @@
     private final Consumer<byte[]> stream;
     private Part part = Part.START_LINE;
     private Message message = new Message();
-    private final byte[] line = new byte[MOST_HEAD];
+    private byte[] line = new byte[256];
     private int lineLength;
     private int headLength;
     private long left;
@@ -92,6 +94,9 @@
             if (++headLength > MOST_HEAD) {
                 throw new BadMessage(431, "head too large");
             }
+            if (lineLength == line.length) {
+                line = Arrays.copyOf(line, 2 * line.length);
+            }
             line[lineLength++] = b;
         }
         return false;
@@ -219,7 +224,8 @@
 
     private void chunkSize(String text) throws BadMessage {
         int end = text.indexOf(';');
-        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16, MOST_BODY, 413);
+        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16,
+                stream == null ? MOST_BODY : MOST_STREAM_CHUNK, 413);
         part = left == 0 ? Part.TRAILERS : Part.CHUNK;
         headLength = left == 0 ? headLength : 0;
     }
--- a/src/main/java/postgrade/http/SocketBudget.java
+++ b/src/main/java/postgrade/http/SocketBudget.java
@@ -9,6 +9,9 @@
  */
 public final class SocketBudget {
 
+    /** Accepted connections take this part at most, or busy consumers could leave none to reach a provider. */
+    private static final double MOST_ACCEPTED = 0.75;
+
     private final int most;
     private int open;
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
@@ -17,9 +20,18 @@
         this.most = most;
     }
 
-    /** Takes a place, if need be by closing an idle connection. False if all are busy. */
-    public boolean take() {
-        if (open >= most) {
+    /** Takes a place for a connection to accept, if need be by closing an idle one. False if too many are busy. */
+    public boolean takeToAccept() {
+        return take((int) (most * MOST_ACCEPTED));
+    }
+
+    /** Takes a place for a connection of ours. */
+    public boolean takeToConnect() {
+        return take(most);
+    }
+
+    private boolean take(int limit) {
+        if (open >= limit) {
             Iterator<Connection> oldest = idle.iterator();
             if (!oldest.hasNext()) {
                 return false;
--- a/src/main/java/postgrade/provider/Link.java
+++ b/src/main/java/postgrade/provider/Link.java
@@ -65,6 +65,11 @@
         }
     }
 
+    @Override
+    public void bad(Connection c, BadMessage e) {
+        fail(); // For what it carried this is a break like any other.
+    }
+
     @Override
     public void closed(Connection c) {
         fail();
--- a/src/main/java/postgrade/provider/ProviderPools.java
+++ b/src/main/java/postgrade/provider/ProviderPools.java
@@ -27,6 +27,8 @@
     private static final long ANSWER_MICROS = 1_000_000;
     /** How long one DELETE may take, and the pause before the next. */
     private static final long GIVE_UP_MICROS = 400_000;
+    /** A close before the 202 gives up by itself; the DELETE behind it is waited for only so long. */
+    private static final long CLOSED_MICROS = 100_000;
     private static final long AGAIN_MICROS = 50_000;
 
     private final Reactor reactor;
@@ -199,7 +201,11 @@
             }
             if (begun) {
                 reached = true;
-                new GiveUp(pool, call, done).send();
+                GiveUp giveUp = new GiveUp(pool, call, done);
+                giveUp.send();
+                if (!accepted) {
+                    timers.at(timers.nowMicros() + CLOSED_MICROS, giveUp::finish);
+                }
             } else {
                 pool.users--;
                 done.run();
@@ -208,8 +214,8 @@
     }
 
     /**
-     * DELETE of one job, again until it is answered or its provider refuses connections. Guards against two
-     * calls out: until then the provider may still run the job, and nothing is told.
+     * DELETE of one job, again until it is answered or the call's time is over. Guards against two calls out:
+     * until it is answered the provider may still run the job, and the module is not told.
      */
     private final class GiveUp {
         private final Pool pool;
@@ -240,7 +246,7 @@
         }
 
         private void again() {
-            if (timers.nowMicros() >= call.untilMicros()) {
+            if (told || timers.nowMicros() >= call.untilMicros()) {
                 finish(); // The consumer has its answer by now and nothing will be sent again.
             } else {
                 timers.at(timers.nowMicros() + AGAIN_MICROS, this::send);
--- /dev/null
+++ b/src/test/java/postgrade/daemon/Peer.java
@@ -0,0 +1,148 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A scripted peer on loopback: hands over what arrives and answers only what the test tells it to. */
+final class Peer implements AutoCloseable {
+
+    static final int PATIENCE_S = 20;
+
+    /** One message, and the connection it came on. */
+    record Arrived(Socket socket, String head, String body) {
+        void reply(String status, String body) {
+            write(socket, "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        void accept() {
+            reply("202 Accepted", "");
+        }
+
+        /** Ends the connection with a reset. */
+        void breakOff() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                    return line.substring(name.length() + 1).strip();
+                }
+            }
+            return null;
+        }
+
+        int status() {
+            return Integer.parseInt(head.split(" ")[1]);
+        }
+    }
+
+    private final ServerSocket server;
+    private final BlockingQueue<Arrived> arrived = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+
+    Peer() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(() -> {
+            while (true) {
+                Socket s = server.accept();
+                daemon(() -> receive(s));
+            }
+        });
+    }
+
+    private void receive(Socket s) throws IOException {
+        try {
+            while (true) {
+                arrived.add(read(s));
+            }
+        } catch (EOFException e) {
+            ended.add(s);
+        }
+    }
+
+    private interface Io {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Io task) {
+        Thread t = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The test is over, or has broken the connection itself.
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    Arrived next() throws InterruptedException {
+        Arrived a = arrived.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertNotNull("nothing arrived", a);
+        return a;
+    }
+
+    Arrived next(String start) throws InterruptedException {
+        Arrived a = next();
+        assertTrue(a.head(), a.head().startsWith(start));
+        return a;
+    }
+
+    boolean nothingArrived() {
+        return arrived.isEmpty();
+    }
+
+    /** Waits until the other side has closed one of its connections. */
+    Socket nextEnd() throws InterruptedException {
+        Socket s = ended.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertNotNull("no connection ended", s);
+        return s;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    static void write(Socket s, String text) {
+        try {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads one message with a length. */
+    static Arrived read(Socket s) throws IOException {
+        InputStream in = s.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                throw new EOFException();
+            }
+            head.append((char) b);
+        }
+        String length = new Arrived(s, head.toString(), "").header("Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return new Arrived(s, head.toString(), new String(body, StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/test/java/postgrade/daemon/Script.java
@@ -0,0 +1,69 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import postgrade.Dispatcher;
+
+/** A decision module that writes down what it hears and does what the test says. Runs on the loop's thread. */
+final class Script implements Dispatcher {
+    final Actions out;
+    final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    volatile Consumer<Job> onJob = job -> { };
+    volatile BiConsumer<String, Integer> onStarted = (id, attempt) -> { };
+    volatile BiConsumer<String, Outcome> onFinished = (id, outcome) -> { };
+
+    Script(Actions out) {
+        this.out = out;
+    }
+
+    void hears(String expected) throws InterruptedException {
+        assertEquals(expected, heard.poll(Peer.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    @Override
+    public void list(long nowNs, ListForm form, List<Worker> workers) {
+        heard.add("list " + form + " " + workers.stream().map(w -> w.id() + " " + w.phase()).toList());
+    }
+
+    @Override
+    public void job(long nowNs, Job job) {
+        heard.add("job " + job.id());
+        onJob.accept(job);
+    }
+
+    @Override
+    public void started(long nowNs, String jobId, int attempt) {
+        heard.add("started " + jobId + " " + attempt);
+        onStarted.accept(jobId, attempt);
+    }
+
+    @Override
+    public void streaming(long nowNs, String jobId, int attempt) { }
+
+    @Override
+    public void finished(long nowNs, String jobId, int attempt, Outcome outcome, boolean last, Load load) {
+        heard.add("finished " + jobId + " " + attempt + " " + outcome + " " + last);
+        onFinished.accept(jobId, outcome);
+    }
+
+    @Override
+    public void probed(long nowNs, String workerId, boolean answered, Load load) {
+        heard.add("probed " + workerId + " " + answered);
+    }
+
+    @Override
+    public void abandoned(long nowNs, String jobId) {
+        heard.add("abandoned " + jobId);
+    }
+
+    @Override
+    public void timer(long nowNs, String token) {
+        heard.add("timer " + token);
+    }
+}
--- /dev/null
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -0,0 +1,493 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotSame;
+import static org.junit.Assert.assertSame;
+import static org.junit.Assert.assertTrue;
+import static org.junit.Assert.fail;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import postgrade.daemon.Peer.Arrived;
+
+/** Stories over loopback: the whole daemon against scripted peers, one for each thing that goes wrong. */
+public class StoriesTest {
+
+    private static final long SILENT_MICROS = 500_000;
+    private static final String SETTINGS = "'balancers':1,'classes':["
+            + "{'name':'price','idempotency':'read_like','onTimeNs':200000000,'deadlineNs':20000000000},"
+            + "{'name':'confirm','idempotency':'non_idempotent','onTimeNs':200000000,'deadlineNs':20000000000}],"
+            + "'limits':{'cancel':true,'maxAttempts':4,'mayDuplicate':false,'mostHeld':HELD,"
+            + "'connIdleNs':IDLE,'connectTimeoutNs':15000000000,'retryAfter':false,'maxRetryAfterNs':2000000000},"
+            + "'specifics':{'tellsStart':true}";
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private Peer discovery;
+    private Peer one;
+    private Peer two;
+    private Daemon daemon;
+    private Script script;
+    private final List<Socket> sockets = new ArrayList<>();
+    private int held = 100;
+    private long idleNs = 10_000_000_000L;
+    private int descriptors = 1024;
+
+    @Before
+    public void begin() throws IOException {
+        discovery = new Peer();
+        one = new Peer();
+        two = new Peer();
+    }
+
+    @After
+    public void end() throws IOException {
+        for (Socket s : sockets) {
+            s.close();
+        }
+        for (Peer p : List.of(discovery, one, two)) {
+            p.close();
+        }
+    }
+
+    // ---- Setting the stage.
+
+    private static String server(String id, String address, String state) {
+        return "{'id':'" + id + "','addr':'" + address + "','zone':'a','kind':'m','cell':0,'state':'" + state
+                + "','weight':1.0,'started_ms':0}";
+    }
+
+    private static String json(long version, boolean full, String... servers) {
+        return ("{'version':" + version + ",'full':" + full + ",'servers':[" + String.join(",", servers) + "]}")
+                .replace('\'', '"');
+    }
+
+    private Map<String, String> configuration(String... servers) throws IOException {
+        Path file = folder.newFile().toPath();
+        Files.writeString(file, ("{'name':'n1','listen':'127.0.0.1:0','discovery':'" + discovery.address()
+                + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + descriptors + "},'settings':{"
+                + SETTINGS.replace("HELD", "" + held).replace("IDLE", "" + idleNs) + "},'known':").replace('\'', '"')
+                + json(41, true, servers) + "}");
+        return Map.of("ROUTER_CONFIG", file.toString());
+    }
+
+    private void serve(String... servers) throws Exception {
+        daemon = new Daemon(Config.read(configuration(servers)));
+        daemon.start();
+    }
+
+    /** With a module that does what the test says. */
+    private void serveScripted(String... servers) throws Exception {
+        daemon = new Daemon(Config.read(configuration(servers)), out -> script = new Script(out), SILENT_MICROS);
+        daemon.start();
+        script.heard.take(); // The stored list.
+    }
+
+    private Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), daemon.port());
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        return s;
+    }
+
+    private Socket post(String id, String jobClass, String deadline) throws IOException {
+        Socket s = connect();
+        post(s, id, jobClass, deadline);
+        return s;
+    }
+
+    private static void post(Socket s, String id, String jobClass, String deadline) {
+        Peer.write(s, "POST /api?a=b HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: " + id + "\r\nX-Class: "
+                + jobClass + "\r\nX-Deadline: " + deadline + "\r\nContent-Length: 3\r\n\r\njob");
+    }
+
+    private Arrived exchange(String text) throws IOException {
+        Socket s = connect();
+        Peer.write(s, text);
+        return Peer.read(s);
+    }
+
+    private int ready() throws IOException {
+        return exchange("GET /-/ready HTTP/1.1\r\n\r\n").status();
+    }
+
+    private int callBack(String body) throws IOException {
+        return exchange("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).status();
+    }
+
+    private int callBack(String id, String from, String state) throws IOException {
+        return callBack("{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":\"" + state
+                + "\",\"result\":\"made by " + from + "\"}");
+    }
+
+    private void watched(String line) throws InterruptedException {
+        Arrived watch = discovery.next("GET /api/targets?watch=1&from=41 ");
+        Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(watch, line);
+    }
+
+    private static void chunk(Arrived watch, String line) {
+        Peer.write(watch.socket(), Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    // ---- The life of a job.
+
+    @Test
+    public void callBacksMayComeBeforeThe202AndTwiceAndFromStrangers() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        assertEquals(200, ready());
+        Socket consumer = post("ab12", "price", "15000m");
+        Arrived job = one.next("POST /api?a=b HTTP/1.1\r\n");
+        assertEquals("job", job.body());
+        assertEquals("ab12", job.header("X-Request-Id"));
+        assertEquals("a stranger's", 204, callBack("ab12", "w9", "done"));
+        assertEquals("another job's", 204, callBack("ffff", "w1", "done"));
+        assertEquals(204, callBack("ab12", "w1", "started"));
+        assertEquals(204, callBack("ab12", "w1", "done"));
+        assertEquals("repeated", 204, callBack("ab12", "w1", "done"));
+        Arrived answer = Peer.read(consumer);
+        assertEquals(200, answer.status());
+        assertEquals("made by w1", answer.body());
+        job.accept();
+        post(consumer, "ab13", "price", "15000m");
+        assertSame("the late 202 frees its connection", job.socket(), one.next("POST").socket());
+        assertEquals("late, of an ended call", 204, callBack("ab12", "w1", "failed"));
+        callBack("ab13", "w1", "done");
+        assertEquals(200, Peer.read(consumer).status());
+    }
+
+    @Test
+    public void whatIsNotAJobEventIsToldSoAndNothingElseHappens() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        for (String bad : List.of("", "{", "[]", "{\"id\":1}", "[".repeat(60_000))) {
+            assertEquals(bad.length() > 20 ? "deep" : bad, 400, callBack(bad));
+        }
+        assertEquals(200, ready());
+    }
+
+    @Test
+    public void aConfirmThatBrokeAfterItsLastByteIsNeverSentAgain() throws Exception {
+        serve(server("w1", one.address(), "ready"), server("w2", one.address(), "ready"));
+        Socket consumer = post("c1", "confirm", "15000m");
+        one.next("POST").breakOff();
+        assertEquals(502, Peer.read(consumer).status());
+        assertTrue(one.nothingArrived());
+    }
+
+    @Test
+    public void aRefusedConnectionProvesThatNothingRanAndAnotherProviderServes() throws Exception {
+        String closed = two.address();
+        two.close();
+        serve(server("w1", closed, "ready"), server("w2", one.address(), "ready"));
+        for (int i = 0; i < 6; i++) {
+            Socket consumer = post("c" + i, "confirm", "15000m");
+            one.next("POST").accept();
+            callBack("c" + i, "w2", "done");
+            assertEquals(200, Peer.read(consumer).status());
+        }
+    }
+
+    @Test
+    public void outcomesFollowTheProtocol() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        script.onFinished = (id, outcome) -> script.out.refuse(id, 1_500_000_000L);
+        String[][] stories = {{"500 Error", "ERROR"}, {"503 Full\r\nX-Not-Run: 1", "FULL"}, {"503 No", "ERROR"},
+            {"202 Accepted", "failed", "ERROR"}, {"202 Accepted", "returned", "FULL"}, {"202 Accepted", "lost", "RESET"}};
+        for (int i = 0; i < stories.length; i++) {
+            Socket consumer = post("j" + i, "price", "15000m");
+            one.next("POST").reply(stories[i][0], "");
+            if (stories[i].length == 3) {
+                callBack("j" + i, "w1", stories[i][1]);
+            }
+            script.hears("job j" + i);
+            script.hears("finished j" + i + " 0 " + stories[i][stories[i].length - 1] + " false");
+            Arrived answer = Peer.read(consumer);
+            assertEquals(429, answer.status());
+            assertEquals("1.500", answer.header("Retry-After"));
+        }
+    }
+
+    @Test
+    public void withoutAnAnswerTheConsumerHearsAtTheDeadlineAndTheJobIsGivenUp() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        long start = System.nanoTime();
+        Socket consumer = post("t1", "price", "400m");
+        one.next("POST").accept();
+        assertEquals(504, Peer.read(consumer).status());
+        assertTrue("not before it", System.nanoTime() - start >= 400_000_000L);
+        one.next("DELETE /jobs/t1 ");
+    }
+
+    @Test
+    public void aConsumerThatLeavesHasItsJobGivenUp() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket consumer = post("g1", "price", "15000m");
+        one.next("POST").accept();
+        consumer.close();
+        one.next("DELETE /jobs/g1 ").reply("200 OK", "");
+        assertEquals(200, ready());
+    }
+
+    // ---- Never two calls out.
+
+    @Test
+    public void aCallIsEndedForTheModuleOnlyOnceItsDeleteIsAnswered() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        script.onStarted = (id, attempt) -> script.out.cancel(id, attempt);
+        script.onFinished = (id, outcome) -> script.out.send(id, "w2", 0);
+        Socket consumer = post("x1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("x1", "w1", "started");
+        Arrived delete = one.next("DELETE /jobs/x1 ");
+        script.hears("job x1");
+        script.hears("started x1 0");
+        ready(); // Turns of the loop pass.
+        assertTrue(script.heard.isEmpty() && two.nothingArrived());
+        delete.reply("200 OK", "");
+        script.hears("finished x1 0 CANCELLED false");
+        two.next("POST").accept();
+        callBack("x1", "w2", "done");
+        assertEquals("made by w2", Peer.read(consumer).body());
+    }
+
+    @Test
+    public void aCallThatIsNotYetTakenIsGivenUpByClosingAndADelete() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        script.onStarted = (id, attempt) -> script.out.cancel(id, attempt);
+        post("x2", "price", "15000m");
+        Arrived job = one.next("POST");
+        callBack("x2", "w1", "started");
+        assertSame(job.socket(), one.nextEnd());
+        one.next("DELETE /jobs/x2 ").reply("404 Not Found", "");
+        script.hears("job x2");
+        script.hears("started x2 0");
+        script.hears("finished x2 0 CANCELLED false");
+    }
+
+    @Test
+    public void aSecondCallBesideOneThatIsOutIsNotSent() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
+        script.onJob = job -> {
+            script.out.send(job.id(), "w1", 0);
+            script.out.send(job.id(), "w2", 0);
+        };
+        post("d1", "price", "15000m");
+        one.next("POST").accept();
+        script.hears("job d1");
+        script.hears("finished d1 1 NOT_SENT false");
+        assertTrue(two.nothingArrived());
+    }
+
+    @Test
+    public void aLateCallBackOfAnEarlierCallToTheSameProviderDoesNotFreeTheNext() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        post("e1", "price", "15000m");
+        one.next("POST").accept();
+        script.hears("job e1");
+        script.onFinished = (id, outcome) -> script.out.send(id, "w1", 0);
+        callBack("e1", "w1", "returned");
+        script.hears("finished e1 0 FULL false");
+        one.next("POST").accept();
+        script.onFinished = (id, outcome) -> { };
+        callBack("e1", "w1", "returned");
+        one.next("DELETE /jobs/e1 ").reply("200 OK", "");
+        script.hears("finished e1 1 RESET false");
+    }
+
+    // ---- The list.
+
+    @Test
+    public void aSendThatWaitsForItsConnectionNeverLeavesOnceItsProviderDrains() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            // A full backlog: further connects neither come up nor fail.
+            for (int i = 0; i < 2; i++) {
+                sockets.add(new Socket(deaf.getInetAddress(), deaf.getLocalPort()));
+            }
+            String address = "127.0.0.1:" + deaf.getLocalPort();
+            serveScripted(server("w1", address, "ready"));
+            script.onJob = job -> script.out.send(job.id(), "w1", 0);
+            post("w1", "price", "15000m");
+            script.hears("job w1");
+            watched(json(42, false, server("w1", address, "draining")));
+            script.hears("list CHANGES [w1 DRAINING]");
+            script.hears("finished w1 0 NOT_SENT false");
+            assertEquals("no provider is left", 503, ready());
+        }
+    }
+
+    @Test
+    public void aWatchThatEndsOrFallsSilentIsOpenedAgainFromTheLastVersion() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        watched(json(43, false, server("w2", two.address(), "ready")));
+        script.hears("list CHANGES [w2 READY]");
+        Arrived again = discovery.next("GET /api/targets?watch=1&from=43 "); // Silent after its line.
+        again.breakOff();
+        again = discovery.next("GET /api/targets?watch=1&from=43 ");
+        Peer.write(again.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(again, "no JSON");
+        again = discovery.next("GET /api/targets?watch=1&from=43 ");
+        Peer.write(again.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(again, json(50, true, server("w2", two.address(), "ready")));
+        script.hears("list FULL [w2 READY]");
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        post("l1", "price", "15000m");
+        script.hears("job l1");
+        script.hears("finished l1 0 NOT_SENT false"); // The whole list lacks w1.
+    }
+
+    @Test
+    public void withoutAnyKnownProviderItIsNotReadyUntilDiscoveryHasNamedOne() throws Exception {
+        serveScripted();
+        assertEquals(503, ready());
+        watched(json(42, true, server("w1", one.address(), "ready")));
+        script.hears("list FULL [w1 READY]");
+        assertEquals(200, ready());
+    }
+
+    // ---- Bounds.
+
+    @Test
+    public void badInputIsAnsweredAndEndsItsConnectionAlone() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        String post = "POST /api HTTP/1.1\r\n";
+        String[][] stories = {{"NONSENSE\r\n\r\n", "400"}, {post + "a b: c\r\n\r\n", "400"},
+            {post + "Content-Length: 70000\r\n\r\n", "413"}, {post + "Content-Length: -1\r\n\r\n", "400"},
+            {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+            {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+            {post + "X: " + "x".repeat(20_000) + "\r\n\r\n", "431"}, {post + "a: b\r\n".repeat(70) + "\r\n", "431"}};
+        for (String[] story : stories) {
+            Arrived answer = exchange(story[0]);
+            assertEquals(story[0], story[1], "" + answer.status());
+            assertEquals("the connection ends", -1, answer.socket().getInputStream().read());
+        }
+        assertEquals(400, Peer.read(post("", "price", "1m")).status());
+        assertEquals(400, Peer.read(post("i1", "no class", "1m")).status());
+        assertEquals(400, Peer.read(post("i1", "price", "soon")).status());
+        assertEquals(404, exchange("GET /other HTTP/1.1\r\n\r\n").status());
+        assertEquals(405, exchange("GET /api HTTP/1.1\r\n\r\n").status());
+        assertEquals(200, ready());
+    }
+
+    @Test
+    public void beyondTheMostHeldAJobIsRejectedAtOnceAndAnIdHeldAlreadyIsAConflict() throws Exception {
+        held = 1;
+        serveScripted(server("w1", one.address(), "ready"));
+        post("h1", "price", "15000m");
+        script.hears("job h1");
+        assertEquals(409, Peer.read(post("h1", "price", "15000m")).status());
+        assertEquals(429, Peer.read(post("h2", "price", "15000m")).status());
+    }
+
+    @Test
+    public void aJobThatTheModuleStumblesOverOrForgetsIsFailed() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        post("f0", "price", "300m");
+        assertEquals("forgotten", 504, Peer.read(sockets.get(0)).status());
+        script.onJob = job -> {
+            throw new IllegalStateException("scripted");
+        };
+        assertEquals(502, Peer.read(post("f1", "price", "15000m")).status());
+        assertEquals(200, ready());
+    }
+
+    @Test
+    public void idleConnectionsAreRetiredBeforeTheirProviderClosesThem() throws Exception {
+        idleNs = 300_000_000L;
+        serve(server("w1", one.address(), "ready"));
+        Socket consumer = post("r1", "price", "15000m");
+        Arrived first = one.next("POST");
+        first.accept();
+        callBack("r1", "w1", "done");
+        Peer.read(consumer);
+        assertSame(first.socket(), one.nextEnd());
+        post(consumer, "r2", "price", "15000m");
+        Arrived second = one.next("POST");
+        assertNotSame(first.socket(), second.socket());
+    }
+
+    @Test
+    public void whenSocketsAreShortIdleConnectionsMakeRoom() throws Exception {
+        descriptors = 128; // 64 for sockets, 48 of them for accepted ones.
+        serve(server("w1", one.address(), "ready"));
+        for (int i = 0; i < 80; i++) {
+            connect();
+        }
+        Socket consumer = post("s1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("s1", "w1", "done");
+        assertEquals(200, Peer.read(consumer).status());
+        assertEquals("the oldest was closed", -1, sockets.get(0).getInputStream().read());
+    }
+
+    // ---- Start and stop.
+
+    @Test
+    public void anOrderlyStopServesWhatStillComesAndAnswersAllThatWasTaken() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket before = post("p1", "price", "15000m");
+        one.next("POST").accept();
+        Thread stop = new Thread(daemon::stop);
+        stop.start();
+        while (ready() == 200) {
+            Thread.onSpinWait();
+        }
+        Socket after = post("p2", "price", "15000m");
+        one.next("POST").accept();
+        assertEquals(204, callBack("p2", "w1", "done"));
+        assertEquals(200, Peer.read(after).status());
+        TimeUnit.SECONDS.timedJoin(stop, 1);
+        assertTrue("one is still owed", stop.isAlive());
+        callBack("p1", "w1", "done");
+        assertEquals(200, Peer.read(before).status());
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse(stop.isAlive());
+    }
+
+    @Test
+    public void theProgramEndsInOrderOnSigtermAndNamesAFaultyKey() throws Exception {
+        Map<String, String> good = configuration(server("w1", one.address(), "ready"));
+        Process p = program(good);
+        discovery.next("GET /api/targets?watch=1&from=41 ");
+        p.toHandle().destroy(); // SIGTERM; the process object itself would close its log too.
+        String log = new String(p.getErrorStream().readAllBytes());
+        assertTrue("ended", p.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(log, log.contains("all answered"));
+        Path file = Path.of(good.get("ROUTER_CONFIG"));
+        Files.writeString(file, Files.readString(file).replace("read_like", "perhaps"));
+        p = program(good);
+        log = new String(p.getErrorStream().readAllBytes());
+        assertEquals(2, p.waitFor());
+        assertTrue(log, log.contains("settings: classes.0.idempotency"));
+        try {
+            Config.read(Map.of());
+            fail("nothing was configured");
+        } catch (Config.Faulty e) {
+            assertEquals("ROUTER_CONFIG: not set", e.getMessage());
+        }
+    }
+
+    private static Process program(Map<String, String> environment) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "postgrade.daemon.Main", "serve");
+        b.environment().putAll(environment);
+        return b.start();
+    }
+}
