Keep the log of an orderly stop

Ruled out: the stop itself, whose other story passes in one process. At fault was Main.logToStandardError: the JDK's log manager closes its handlers in a shutdown hook that runs beside ours.

--- a/src/main/java/postgrade/daemon/Main.java
+++ b/src/main/java/postgrade/daemon/Main.java
@@ -47,8 +47,10 @@
     }
 
     private static void logToStandardError() {
-        // Not the log manager's own shutdown hook: it would close the handlers while the loop still answers.
-        LogManager.getLogManager().reset();
+        System.setProperty("java.util.logging.manager", KeptLogs.class.getName());
+        for (Handler standard : Logger.getLogger("").getHandlers()) {
+            Logger.getLogger("").removeHandler(standard);
+        }
         Handler handler = new ConsoleHandler();
         handler.setFormatter(new Formatter() {
             @Override
@@ -60,4 +62,15 @@
         });
         Logger.getLogger("").addHandler(handler);
     }
+
+    /**
+     * Keeps the handlers to the very end. Guards the log lines of an orderly stop: the ordinary log manager closes
+     * its handlers in a shutdown hook of its own, while ours still waits for the loop.
+     */
+    public static final class KeptLogs extends LogManager {
+        @Override
+        public void reset() {
+            // Nothing is configured by files here, so there is nothing to reset.
+        }
+    }
 }
