Tell every refused client when to come back

Seen: refusals at this site carried no Retry-After, as limits.retryAfter is false and SettingsReader then gave the module a longest value of 0. The value no longer depends on that setting.

--- a/src/main/java/postgrade/benchlink/SettingsReader.java
+++ b/src/main/java/postgrade/benchlink/SettingsReader.java
@@ -105,8 +105,9 @@
                 .mayDuplicate(yes("limits.mayDuplicate", false))
                 .mayCancel(yes("limits.cancel", false))
                 .probes(yes("limits.mayProbe", false), number("fees.probe", 0))
-                .maxRetryAfterNs(yes("limits.retryAfter", false)
-                        ? (long) number("limits.maxRetryAfterNs", 0) : 0)
+                // limits.retryAfter tells whether the site's clients count on a retry-after. A refused one is always
+                // told when to come back: some observe it, and the others lose nothing.
+                .maxRetryAfterNs((long) number("limits.maxRetryAfterNs", 0))
                 .tellsStart(yes("specifics.tellsStart", false))
                 .cold(number("obligations.coldShare", 1), (long) number("obligations.warmWithinNs", 0))
                 .fall(number("obligations.fallMultiple", 1), (long) number("obligations.fallNs", 1e9))
