Ask for no probes where their answers bring no load report

Decide.probeFirst probes whenever a worker's room is unknown, and at a silent site it is never known. In the module itself the condition would have kept sites that report by probes alone from ever learning it, so SettingsReader now grants probes only if telemetry.source is not silent.

Also: a full gateway names a retry-after, and the watch's pause is one second at most.

--- a/src/main/java/postgrade/benchlink/SettingsReader.java
+++ b/src/main/java/postgrade/benchlink/SettingsReader.java
@@ -104,7 +104,9 @@
                 .maxAttempts((int) number("limits.maxAttempts", 3))
                 .mayDuplicate(yes("limits.mayDuplicate", false))
                 .mayCancel(yes("limits.cancel", false))
-                .probes(yes("limits.mayProbe", false), number("fees.probe", 0))
+                // Where no report comes with its answer, a probe tells less than it costs the worker and the job.
+                .probes(yes("limits.mayProbe", false) && !text("telemetry.source", "").equals("silent"),
+                        number("fees.probe", 0))
                 // limits.retryAfter tells whether the site's clients count on a retry-after. A refused one is always
                 // told when to come back: some observe it, and the others lose nothing.
                 .maxRetryAfterNs((long) number("limits.maxRetryAfterNs", 0))
--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/src/main/java/postgrade/consumer/Listener.java
@@ -34,7 +34,7 @@
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
     private final ServerSocketChannel channel;
     private final SelectionKey key;
-    private boolean isShortOfSockets;
+    private boolean isShort;
     private boolean stopping;
 
     /** @param able whether an invocation could be served now */
@@ -82,9 +82,9 @@
         shortOfSockets(true);
     }
 
-    private void shortOfSockets(boolean isShort) {
-        if (isShort != isShortOfSockets) {
-            isShortOfSockets = isShort;
+    private void shortOfSockets(boolean now) {
+        if (now != isShort) {
+            isShort = now;
             key.interestOps(isShort ? 0 : SelectionKey.OP_ACCEPT);
             LOG.warning(isShort ? "sockets used up by busy connections; accepting no more for now"
                     : "sockets free again; accepting");
@@ -93,7 +93,7 @@
 
     void closed(ConsumerConnection c) {
         connections.remove(c);
-        if (isShortOfSockets) {
+        if (isShort) {
             shortOfSockets(false);
         }
     }
@@ -102,7 +102,7 @@
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.sweep(timers.nowMicros());
         }
-        if (isShortOfSockets) {
+        if (isShort) {
             shortOfSockets(false); // A provider's connection may have been closed.
         }
         timers.at(timers.nowMicros() + SWEEP_MICROS, this::sweep);
--- a/src/main/java/postgrade/discovery/Watch.java
+++ b/src/main/java/postgrade/discovery/Watch.java
@@ -25,7 +25,7 @@
     /** An empty line is due every 2 s; discovery that is down keeps silent. */
     public static final long SILENT_MICROS = 5_000_000;
     private static final long PAUSE_MICROS = 200_000;
-    private static final long MOST_PAUSE_MICROS = 2_000_000;
+    private static final long MOST_PAUSE_MICROS = 1_000_000;
     /** Guards the memory against a line that never ends. */
     private static final int MOST_LINE = 4 << 20;
 
--- a/src/main/java/postgrade/gateway/Consumer.java
+++ b/src/main/java/postgrade/gateway/Consumer.java
@@ -5,7 +5,7 @@
 
     void serve(byte[] result);
 
-    /** A rejection: the job has not run, and trying again after this time is harmless. 0: no advice. */
+    /** A rejection: trying again after this time is harmless. 0: no advice. */
     void reject(long retryAfterMicros);
 
     /** @param timedOut the deadline has passed */
--- a/src/main/java/postgrade/gateway/Gateway.java
+++ b/src/main/java/postgrade/gateway/Gateway.java
@@ -30,6 +30,8 @@
     private static final long NANOS = 1_000;
     /** The module answers by the deadline; what it has not answered so long after is failed here. */
     private static final long OVERDUE_MICROS = 20_000;
+    /** When a consumer that finds all places taken may come back. */
+    private static final long FULL_RETRY_MICROS = 500_000;
 
     private final Timers timers;
     private final Dispatcher module;
@@ -69,7 +71,7 @@
         }
         if (waiting >= mostHeld) {
             // Guards the memory: beyond this an invocation is turned away before the module hears of it.
-            in.consumer.reject(0);
+            in.consumer.reject(FULL_RETRY_MICROS);
             return true;
         }
         open.put(in.id, in);
