Bound the bytes of bodies held, and leave unread connections in peace

Seen with a small probe against the program under the flags of 'run': 900 clients with a body of 64 KiB each ended it with an OutOfMemoryError. Ruled out: mostHeld and the socket budget, which still allow 720 bodies, read into growing buffers and copied once more for the send: over 90 MB. Now at most 24 MiB of bodies are held, beyond which larger requests are rejected with Retry-After; a body is written without a copy and its buffer is not kept.

The same probe then showed 182 fresh connections closed before their first request was read: the budget took them for idle. They count as idle after a second.

--- a/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -19,9 +19,14 @@
 final class ConsumerConnection implements Connection.Owner {
 
     private static final byte[] NONE = {};
+    /** Bodies up to this length are taken whatever is held; call-backs are such. */
+    private static final int SMALL = 4 << 10;
+    private static final long FULL_RETRY_MICROS = 500_000;
     /** A request must be whole, and an answer taken, within this time; guards against peers that trickle. */
     private static final long STALL_MICROS = 15_000_000;
     private static final long IDLE_MICROS = 300_000_000;
+    /** A new connection is not idle for so long: its first request may be on the way. */
+    private static final long FRESH_MICROS = 1_000_000;
     /** A peer that was told of the connection's end has this time to end its own side. */
     private static final long LINGER_MICROS = 2_000_000;
     /** Bytes kept of requests that come before the one ahead of them is answered. */
@@ -29,23 +34,24 @@
 
     private final Listener listener;
     private final Connection connection;
-    private final MessageParser parser = MessageParser.ofRequests();
+    private MessageParser parser = MessageParser.ofRequests();
     private ByteBuffer ahead = ByteBuffer.allocate(0);
     private Exchange exchange;
     private boolean parsing;
     private boolean ofProvider;
+    private long accounted;
     private long activeMicros;
 
     ConsumerConnection(Listener listener, SocketChannel channel) throws IOException {
         this.listener = listener;
         activeMicros = listener.timers.nowMicros();
         connection = Connection.accepted(listener.reactor, channel, this);
-        connection.idle(true);
     }
 
     @Override
     public void received(Connection c, ByteBuffer bytes) throws BadMessage {
         activeMicros = listener.timers.nowMicros();
+        connection.idle(false);
         if (ahead.hasRemaining()) {
             if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
                 connection.close();
@@ -55,6 +61,12 @@
             bytes = ByteBuffer.allocate(ahead.remaining() + bytes.remaining()).put(ahead).put(bytes).flip();
         }
         parse(bytes);
+        if (parser.bodySoFar() > SMALL && listener.holdsTooMuch()) {
+            parser = MessageParser.ofRequests(); // With it goes what was held; the rest is not read.
+            exchange = new Exchange(false); // Not opened: its answer is all there will be.
+            exchange.reject(FULL_RETRY_MICROS);
+            account();
+        }
     }
 
     /** Takes requests one after another, as long as each is answered at once. */
@@ -72,6 +84,15 @@
             ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         }
         connection.idle(!busy());
+        account();
+    }
+
+    /** Keeps the listener's count of the bytes held for this connection. */
+    private void account() {
+        long held = connection.isOpen() ? parser.bodySoFar() + ahead.remaining() + connection.bytesUnsent()
+                + (exchange == null ? 0 : exchange.size) : 0;
+        listener.holds(held - accounted);
+        accounted = held;
     }
 
     private void handle(Message request) {
@@ -117,6 +138,11 @@
         }
         Exchange opened = new Exchange(request.keepsAlive());
         exchange = opened;
+        if (request.body().length > SMALL && listener.holdsTooMuch()) {
+            opened.reject(FULL_RETRY_MICROS);
+            return;
+        }
+        opened.size = request.body().length;
         opened.invocation = new Invocation(id, jobClass, request.header("x-tenant"), request.header("x-key"), slots,
                 memory, listener.timers.nowMicros() + deadline,
                 new Payload(request.method(), request.target(), request.header("content-type"), request.body()),
@@ -151,13 +177,17 @@
         }
         if (!connection.isOpen()) {
             listener.closed(this);
+        } else if (!busy() && nowMicros - activeMicros > FRESH_MICROS) {
+            connection.idle(true);
         }
+        account();
     }
 
     void closeIfIdle() {
         if (!busy() && !ofProvider) {
             connection.close();
             listener.closed(this);
+            account();
         }
     }
 
@@ -170,6 +200,7 @@
     @Override
     public void closed(Connection c) {
         listener.closed(this);
+        account();
         if (exchange != null) {
             Exchange left = exchange;
             exchange = null;
@@ -181,6 +212,7 @@
     private final class Exchange implements Consumer {
         private final boolean keepsAlive;
         private Invocation invocation;
+        private int size;
 
         Exchange(boolean keepsAlive) {
             this.keepsAlive = keepsAlive;
--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/src/main/java/postgrade/consumer/Listener.java
@@ -23,6 +23,8 @@
 
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
     private static final int BACKLOG = 1024;
+    /** The most bytes of bodies held, in part or whole; well within the heap. */
+    private static final long MOST_BYTES = 24 << 20;
     private static final long SWEEP_MICROS = 1_000_000;
 
     final Reactor reactor;
@@ -34,6 +36,7 @@
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
     private final ServerSocketChannel channel;
     private final SelectionKey key;
+    private long bytesHeld;
     private boolean isShort;
     private boolean stopping;
 
@@ -91,6 +94,15 @@
         }
     }
 
+    void holds(long moreBytes) {
+        bytesHeld += moreBytes;
+    }
+
+    /** Guards the memory: a body on each of the sockets, all of the greatest length, would not fit. */
+    boolean holdsTooMuch() {
+        return bytesHeld > MOST_BYTES;
+    }
+
     void closed(ConsumerConnection c) {
         connections.remove(c);
         if (isShort) {
--- a/src/main/java/postgrade/http/Connection.java
+++ b/src/main/java/postgrade/http/Connection.java
@@ -136,29 +136,30 @@
         }
     }
 
-    /** Sends the bytes now or as soon as the peer takes them. */
-    public void write(byte[] bytes) {
+    /** Sends the bytes, part by part, now or as soon as the peer takes them. They are not copied. */
+    public void write(byte[]... parts) {
         if (closed) {
             return;
         }
-        unsent.add(ByteBuffer.wrap(bytes));
-        if (unsent.size() == 1 && !connecting) {
+        boolean first = unsent.isEmpty();
+        for (byte[] part : parts) {
+            unsent.add(ByteBuffer.wrap(part));
+        }
+        if (first && !connecting) {
             try {
                 flush();
             } catch (IOException e) {
-                // The read side will tell of the break; nothing of the owner's runs inside its own call.
-                unsent.clear();
-                unsent.add(ByteBuffer.wrap(bytes));
+                // The bytes stay unsent and the read side will tell of the break: nothing of the owner's runs
+                // inside its own call.
             }
         }
     }
 
     private void flush() throws IOException {
-        while (!unsent.isEmpty()) {
-            channel.write(unsent.peek());
-            if (unsent.peek().hasRemaining()) {
-                break;
-            }
+        if (!unsent.isEmpty()) {
+            channel.write(unsent.toArray(new ByteBuffer[0])); // All parts in one packet, if they fit.
+        }
+        while (!unsent.isEmpty() && !unsent.peek().hasRemaining()) {
             unsent.poll();
         }
         key.interestOps(SelectionKey.OP_READ | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
@@ -172,6 +173,14 @@
         return !connecting && unsent.isEmpty();
     }
 
+    public long bytesUnsent() {
+        long sum = 0;
+        for (ByteBuffer b : unsent) {
+            sum += b.remaining();
+        }
+        return sum;
+    }
+
     public boolean isOpen() {
         return !closed;
     }
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -16,6 +16,7 @@
     public static final int MOST_BODY = 64 << 10;
     static final int MOST_HEAD = 16 << 10;
     static final int MOST_HEADERS = 64;
+    private static final int SMALL = 256;
     private static final int MOST_STREAM_CHUNK = 16 << 20;
 
     private enum Part { START_LINE, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
@@ -28,7 +29,7 @@
     private int lineLength;
     private int headLength;
     private long left;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(SMALL);
 
     private MessageParser(boolean requests, Consumer<byte[]> stream) {
         this.requests = requests;
@@ -53,6 +54,11 @@
         return part == Part.START_LINE && lineLength == 0;
     }
 
+    /** Bytes of the body that has come in part. */
+    public int bodySoFar() {
+        return body.size();
+    }
+
     /** Takes bytes up to the end of one message at most; returns it once it is whole, null until then. */
     public Message parse(ByteBuffer in) throws BadMessage {
         while (in.hasRemaining()) {
@@ -76,6 +82,9 @@
         Message whole = message;
         whole.body = body.toByteArray();
         message = new Message();
+        if (whole.body.length > SMALL) {
+            body = new ByteArrayOutputStream(SMALL); // Guards the memory: an idle connection keeps no large buffer.
+        }
         body.reset();
         part = Part.START_LINE;
         headLength = 0;
--- a/src/main/java/postgrade/http/MessageWriter.java
+++ b/src/main/java/postgrade/http/MessageWriter.java
@@ -49,6 +49,11 @@
         return whole;
     }
 
+    /** The head of a message whose body is sent behind it. */
+    public byte[] headFor(byte[] body) {
+        return header("Content-Length", body.length).noBody();
+    }
+
     public byte[] noBody() {
         return head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/src/main/java/postgrade/http/SocketBudget.java
+++ b/src/main/java/postgrade/http/SocketBudget.java
@@ -47,9 +47,10 @@
     }
 
     void idle(Connection c, boolean isIdle) {
-        idle.remove(c);
         if (isIdle) {
-            idle.add(c);
+            idle.add(c); // One that is idle already keeps its place.
+        } else {
+            idle.remove(c);
         }
     }
 
--- a/src/main/java/postgrade/provider/Link.java
+++ b/src/main/java/postgrade/provider/Link.java
@@ -24,7 +24,7 @@
         request = r;
         r.link = this;
         connection.idle(false);
-        connection.write(r.bytes());
+        r.writeTo(connection);
     }
 
     @Override
--- a/src/main/java/postgrade/provider/ProviderPools.java
+++ b/src/main/java/postgrade/provider/ProviderPools.java
@@ -92,14 +92,14 @@
         Pool pool = pools.get(call.providerId());
         if (pool == null || !pool.ready) {
             gateway.ended(call, Outcome.NOT_SENT);
-            return new Call(null, call, new byte[0]);
+            return new Call(null, call, Request.NONE);
         }
         Payload p = call.payload();
-        byte[] bytes = MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
+        byte[] head = MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
                 .header("X-Request-Id", call.id())
                 .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
-                .header("Content-Type", p.contentType()).body(p.body());
-        Call sent = new Call(pool, call, bytes);
+                .header("Content-Type", p.contentType()).headFor(p.body());
+        Call sent = new Call(pool, call, head);
         pool.users++;
         pool.send(sent);
         return sent;
@@ -118,8 +118,8 @@
         private boolean ended;
         private boolean givenUp;
 
-        Call(Pool pool, InvokerCall call, byte[] bytes) {
-            super(bytes);
+        Call(Pool pool, InvokerCall call, byte[] head) {
+            super(head, call.payload().body());
             this.pool = pool;
             this.call = call;
         }
@@ -255,7 +255,8 @@
 
         private final class Delete extends Request {
             Delete() {
-                super(MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody());
+                super(MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody(),
+                        NONE);
             }
 
             @Override
@@ -304,7 +305,7 @@
         private final Pool pool;
 
         Probe(Pool pool) {
-            super(MessageWriter.request("GET", "/-/healthy").header("Host", pool.host()).noBody());
+            super(MessageWriter.request("GET", "/-/healthy").header("Host", pool.host()).noBody(), NONE);
             this.pool = pool;
         }
 
--- a/src/main/java/postgrade/provider/Request.java
+++ b/src/main/java/postgrade/provider/Request.java
@@ -1,23 +1,33 @@
 package postgrade.provider;
 
+import postgrade.http.Connection;
 import postgrade.http.Message;
 
 /** One request to a provider and what becomes of it. Exactly one of the three is called, once. */
 abstract class Request {
 
+    static final byte[] NONE = {};
+
     enum Break { NEVER_WRITTEN, DRAINED, AFTER_LAST_BYTE }
 
-    private final byte[] bytes;
+    private final byte[] head;
+    private byte[] body;
     /** The link that carries it, null while it waits for one and after its end. */
     Link link;
     boolean over;
 
-    Request(byte[] bytes) {
-        this.bytes = bytes;
+    Request(byte[] head, byte[] body) {
+        this.head = head;
+        this.body = body;
     }
 
-    byte[] bytes() {
-        return bytes;
+    void writeTo(Connection c) {
+        if (body.length == 0) {
+            c.write(head);
+        } else {
+            c.write(head, body);
+        }
+        body = NONE; // A call may last for seconds after it is written.
     }
 
     /** Only new work is kept from a provider that drains; giving up goes on. */
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -396,6 +396,27 @@
         assertEquals(429, Peer.read(post("h2", "price", "15000m")).status());
     }
 
+    @Test
+    public void beyondTheBytesThatTheHeapCanHoldLargeJobsAreRejectedAndSmallOnesTaken() throws Exception {
+        held = 1000;
+        serveScripted(server("w1", one.address(), "ready"));
+        String large = "POST /api HTTP/1.1\r\nX-Class: price\r\nContent-Length: 65536\r\nX-Request-Id: ";
+        int most = (24 << 20) / 65536;
+        for (int i = 0; i <= most; i++) {
+            Peer.write(connect(), large + i + "\r\n\r\n" + "x".repeat(65536));
+            if (i < most) {
+                script.hears("job " + i);
+            }
+        }
+        Peer.write(connect(), large + "over\r\n\r\n" + "x".repeat(65536));
+        Arrived answer = Peer.read(sockets.get(most + 1));
+        assertEquals(429, answer.status());
+        assertEquals("0.500", answer.header("Retry-After"));
+        post("small", "price", "15000m");
+        String heard = script.heard.poll(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        assertEquals("job small", heard.equals("job " + most) ? script.heard.take() : heard);
+    }
+
     @Test
     public void aJobThatTheModuleStumblesOverOrForgetsIsFailed() throws Exception {
         serveScripted(server("w1", one.address(), "ready"));
