Find a dead watch within 3 s, and let one bad entry or id spoil nothing else

Read against PROTOCOL: what discovery has to tell counts as told after 6 s, whether it arrived or not, and a drained worker must get nothing 500 ms later. With 5 s of patience and a pause a silent watch could outlast that. An empty line is due every 2 s, so 3 s are enough; the pause grows to one second at most.

Checked with the watch's story: one entry without an id or with an address that cannot be read ended the watch, which was then opened again from the same version for ever. Such entries are passed over with one warning; a state that we do not know counts as draining. An X-Request-Id that cannot stand in the path of a DELETE is a 400.

--- a/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -120,8 +120,8 @@
         String jobClass = request.header("x-class");
         String id = request.header("x-request-id");
         Long classDeadline = jobClass == null ? null : listener.deadlineMicros.get(jobClass);
-        if (id == null || id.isEmpty() || classDeadline == null) {
-            answer(400, id == null || id.isEmpty() ? "X-Request-Id is missing\n" : "X-Class is not known\n",
+        if (!Fields.isId(id) || classDeadline == null) {
+            answer(400, Fields.isId(id) ? "X-Class is not known\n" : "X-Request-Id is missing or no id\n",
                     request.keepsAlive());
             return;
         }
--- a/src/main/java/postgrade/consumer/Fields.java
+++ b/src/main/java/postgrade/consumer/Fields.java
@@ -7,6 +7,12 @@
 
     private Fields() { }
 
+    /** Whether the id can stand in a path. Guards the DELETE that gives its job up, whose head it becomes part of. */
+    static boolean isId(String value) {
+        return value != null && !value.isEmpty()
+                && value.chars().allMatch(c -> c > ' ' && c <= '~' && "/?#%".indexOf(c) < 0);
+    }
+
     /** A number and a unit: {@code m} for milliseconds, {@code u} for microseconds. */
     static long deadlineMicros(String value, long absent) {
         if (value == null || value.isEmpty()) {
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -55,8 +55,9 @@
         }
         listener = new Listener(config.listen, config.deadlineMicros, () -> providers.readyCount() > 0, gateway, loop,
                 loop);
-        watch = new Watch(config.discovery, config.name, config.known == null ? 0 : config.known.version(), silentMicros,
-                loop, loop, list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
+        long version = config.known == null ? 0 : config.known.version();
+        watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
+                list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
         thread = new Thread(null, this::run, "loop");
         LOG.info(config.name + " listens on " + config.listen + ", " + providers.readyCount()
                 + " providers known from before");
@@ -92,6 +93,7 @@
     }
 
     private void list(ListForm form, TargetList list) {
+        list.warnOfFaulty();
         List<Target> targets = new ArrayList<>();
         List<Worker> workers = new ArrayList<>();
         for (Entry e : list.entries()) {
--- a/src/main/java/postgrade/discovery/TargetList.java
+++ b/src/main/java/postgrade/discovery/TargetList.java
@@ -5,9 +5,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Logger;
 
 /** One object of discovery: the whole list, or the entries that changed since the one before it. */
-public record TargetList(long version, boolean whole, List<Entry> entries) {
+public record TargetList(long version, boolean whole, List<Entry> entries, List<String> faulty) {
+
+    private static final Logger LOG = Logger.getLogger(TargetList.class.getName());
 
     /** How far a provider is in its life. */
     public enum State { READY, DRAINING, GONE }
@@ -16,20 +19,26 @@
     public record Entry(String id, InetSocketAddress address, String zone, String kind, int cell, State state,
             double weight, long startedMillis) { }
 
-    /** Reads the form of the protocol. An exception names what is wrong. */
+    /** Reads the protocol's form; entries that cannot be read are passed over. An exception names what is wrong. */
     public static TargetList of(JsonObject json) {
         List<Entry> entries = new ArrayList<>();
+        List<String> faulty = new ArrayList<>();
         JsonValue servers = json.get("servers");
         if (servers != null) {
             for (JsonValue v : servers.asArray()) {
-                entries.add(entry(v.asObject()));
+                try {
+                    entries.add(entry(v.asObject()));
+                } catch (RuntimeException e) {
+                    // Guards the rest of the list: one entry that cannot be read must not hide the others.
+                    faulty.add(e.getMessage() + " in " + v);
+                }
             }
         }
         JsonValue version = json.get("version");
         if (version == null || !version.isNumber()) {
             throw new IllegalArgumentException("version is missing");
         }
-        return new TargetList(version.asLong(), json.getBoolean("full", false), entries);
+        return new TargetList(version.asLong(), json.getBoolean("full", false), entries, faulty);
     }
 
     private static Entry entry(JsonObject e) {
@@ -37,9 +46,8 @@
         String address = e.getString("addr", "");
         State state = switch (e.getString("state", "")) {
             case "ready" -> State.READY;
-            case "draining" -> State.DRAINING;
             case "gone" -> State.GONE;
-            default -> throw new IllegalArgumentException("state of " + id + " is not known");
+            default -> State.DRAINING; // So is any state that we do not know: nothing new for it.
         };
         if (id.isEmpty()) {
             throw new IllegalArgumentException("id is missing");
@@ -49,6 +57,13 @@
                 e.getDouble("weight", 1), (long) e.getDouble("started_ms", 0));
     }
 
+    public void warnOfFaulty() {
+        if (!faulty.isEmpty()) {
+            LOG.warning("list version " + version + ": " + faulty.size()
+                    + " entries not understood and passed over, first: " + faulty.get(0));
+        }
+    }
+
     /** Reads {@code address:port}. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/postgrade/discovery/Watch.java
+++ b/src/main/java/postgrade/discovery/Watch.java
@@ -22,8 +22,11 @@
 public final class Watch {
 
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
-    /** An empty line is due every 2 s; discovery that is down keeps silent. */
-    public static final long SILENT_MICROS = 5_000_000;
+    /**
+     * An empty line is due every 2 s; discovery that is down keeps silent. Guards the drain rule: what a dead watch
+     * keeps from us counts as told after 6 s, and it must be found out and opened again well before.
+     */
+    public static final long SILENT_MICROS = 3_000_000;
     private static final long PAUSE_MICROS = 200_000;
     private static final long MOST_PAUSE_MICROS = 1_000_000;
     /** Guards the memory against a line that never ends. */
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -272,6 +272,7 @@
     }
 
     private static boolean token(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127 && "()<>@,;:\\\"/[]?={}".indexOf(c) < 0);
+        return !text.isEmpty()
+                && text.chars().allMatch(c -> c > ' ' && c < 127 && "()<>@,;:\\\"/[]?={}".indexOf(c) < 0);
     }
 }
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -345,8 +345,9 @@
         chunk(again, "no JSON");
         again = discovery.next("GET /api/targets?watch=1&from=43 ");
         Peer.write(again.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        chunk(again, json(50, true, server("w2", two.address(), "ready")));
-        script.hears("list FULL [w2 READY]");
+        chunk(again, json(50, true, server("", two.address(), "ready"), server("w2", two.address(), "ready"),
+                server("w3", "nowhere", "ready"), server("w4", one.address(), "never heard of")));
+        script.hears("list FULL [w2 READY, w4 DRAINING]"); // Entries that cannot be read hide no others.
         script.onJob = job -> script.out.send(job.id(), "w1", 0);
         post("l1", "price", "15000m");
         script.hears("job l1");
@@ -379,6 +380,7 @@
             assertEquals("the connection ends", -1, answer.socket().getInputStream().read());
         }
         assertEquals(400, Peer.read(post("", "price", "1m")).status());
+        assertEquals(400, Peer.read(post("a/../b c", "price", "1m")).status());
         assertEquals(400, Peer.read(post("i1", "no class", "1m")).status());
         assertEquals(400, Peer.read(post("i1", "price", "soon")).status());
         assertEquals(404, exchange("GET /other HTTP/1.1\r\n\r\n").status());
