--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -281,6 +281,23 @@
         script.hears("finished x2 0 CANCELLED false");
     }
 
+    @Test
+    public void aDeleteThatIsCutOffIsSentAgainBeforeTheModuleHears() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        script.onStarted = (id, attempt) -> script.out.cancel(id, attempt);
+        post("y1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("y1", "w1", "started");
+        one.next("DELETE /jobs/y1 ").breakOff();
+        Arrived again = one.next("DELETE /jobs/y1 ");
+        script.hears("job y1");
+        script.hears("started y1 0");
+        assertTrue(script.heard.isEmpty());
+        again.reply("200 OK", "");
+        script.hears("finished y1 0 CANCELLED false");
+    }
+
     @Test
     public void aSecondCallBesideOneThatIsOutIsNotSent() throws Exception {
         serveScripted(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
@@ -446,6 +463,21 @@
         assertNotSame(first.socket(), second.socket());
     }
 
+    @Test
+    public void aConnectionThatBrokeWhileIdleCostsTheNextJobNothing() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket consumer = post("k1", "confirm", "15000m");
+        Arrived first = one.next("POST");
+        first.accept();
+        callBack("k1", "w1", "done");
+        Peer.read(consumer);
+        first.breakOff();
+        post(consumer, "k2", "confirm", "15000m");
+        one.next("POST").accept();
+        callBack("k2", "w1", "done");
+        assertEquals(200, Peer.read(consumer).status());
+    }
+
     @Test
     public void whenSocketsAreShortIdleConnectionsMakeRoom() throws Exception {
         descriptors = 128; // 64 for sockets, 48 of them for accepted ones.
