Answer Expect: 100-continue, and end a provider's connection that speaks unasked

A client that waits for our word before its body was left to its own time-out. Bytes on an idle connection that formed no whole response stayed in its parser and would have been read into the next answer: Link.received checked only whole ones.

--- a/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -74,8 +74,11 @@
         parsing = true;
         while (exchange == null && bytes.hasRemaining() && connection.isOpen() && !connection.isClosing()) {
             Message request = parser.parse(bytes);
+            boolean waits = parser.takeExpectation();
             if (request != null) {
                 handle(request);
+            } else if (waits) {
+                connection.write(MessageWriter.response(100).noBody());
             }
         }
         parsing = false;
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -29,6 +29,7 @@
     private int lineLength;
     private int headLength;
     private long left;
+    private boolean expectsContinue;
     private ByteArrayOutputStream body = new ByteArrayOutputStream(SMALL);
 
     private MessageParser(boolean requests, Consumer<byte[]> stream) {
@@ -54,6 +55,13 @@
         return part == Part.START_LINE && lineLength == 0;
     }
 
+    /** True once, where a request's sender waits for our word before it sends the body. */
+    public boolean takeExpectation() {
+        boolean expects = expectsContinue;
+        expectsContinue = false;
+        return expects;
+    }
+
     /** Bytes of the body that has come in part. */
     public int bodySoFar() {
         return body.size();
@@ -214,6 +222,7 @@
             part = Part.TO_THE_END;
             left = Long.MAX_VALUE;
         }
+        expectsContinue = requests && part != Part.HEADERS && message.lists("expect", "100-continue");
         return part == Part.HEADERS;
     }
 
--- a/src/main/java/postgrade/http/MessageWriter.java
+++ b/src/main/java/postgrade/http/MessageWriter.java
@@ -6,7 +6,7 @@
 /** Writes one message into bytes. */
 public final class MessageWriter {
 
-    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
+    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(100, "Continue"), Map.entry(200, "OK"),
             Map.entry(204, "No Content"), Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"),
             Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
             Map.entry(413, "Content Too Large"), Map.entry(429, "Too Many Requests"),
--- a/src/main/java/postgrade/provider/Link.java
+++ b/src/main/java/postgrade/provider/Link.java
@@ -34,6 +34,10 @@
 
     @Override
     public void received(Connection c, ByteBuffer bytes) throws BadMessage {
+        if (request == null) {
+            fail(); // Guards the next request: bytes that nobody asked for would be taken for its response.
+            return;
+        }
         Message response = parser.parse(bytes);
         if (response != null) {
             finish(response, bytes.hasRemaining());
@@ -43,24 +47,21 @@
     private void finish(Message response, boolean more) {
         Request done = request;
         request = null;
-        if (done == null || more || !response.keepsAlive() || !connection.allSent()) {
-            // Guards the next request: bytes that nobody asked for would be taken for its response.
+        if (more || !response.keepsAlive() || !connection.allSent()) {
             connection.close();
             pool.dropped(this);
         } else {
             pool.free(this);
         }
-        if (done != null) {
-            done.link = null;
-            done.over = true;
-            done.answered(response);
-        }
+        done.link = null;
+        done.over = true;
+        done.answered(response);
     }
 
     @Override
     public void ended(Connection c) {
         Message response = parser.atEnd();
-        if (response != null) {
+        if (response != null && request != null) {
             finish(response, true);
         }
     }
--- a/src/test/java/postgrade/benchlink/SettingsReaderTest.java
+++ b/src/test/java/postgrade/benchlink/SettingsReaderTest.java
@@ -34,8 +34,8 @@
                 + "'skus':['big','small'],'classes':[{'name':'price','idempotency':'read_like','onTimeNs':200000000},"
                 + "{'name':'confirm','idempotency':'non_idempotent','onTimeNs':300000000}],"
                 + "'specifics':{'classKind':[-1,1],'classStretch':[2.5,1.75]},"
-                + "'tenants':[{'name':'kvart','quotaPerS':33.0}],'fees':{'probe':0.0034},'telemetry':{'source':'silent',"
-                + "'fields':[]},'limits':{'mayProbe':true,'retryAfter':false,'maxRetryAfterNs':2000000000}}")
+                + "'tenants':[{'name':'kvart','quotaPerS':33.0}],'fees':{'probe':0.0034},"
+                + "'telemetry':{'source':'silent','fields':[]},'limits':{'mayProbe':true,'retryAfter':false,'maxRetryAfterNs':2000000000}}")
                 .replace('\'', '"')).asObject()).settings();
         Settings pairs = ofPairs(PAIRS);
         assertEquals(pairs.classes, nested.classes);
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -126,7 +126,8 @@
     }
 
     private int callBack(String body) throws IOException {
-        return exchange("POST /v1/job-events HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).status();
+        String head = "POST /v1/job-events HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n";
+        return exchange(head + body).status();
     }
 
     private int callBack(String id, String from, String state) throws IOException {
@@ -207,7 +208,8 @@
         script.onJob = job -> script.out.send(job.id(), "w1", 0);
         script.onFinished = (id, outcome) -> script.out.refuse(id, 1_500_000_000L);
         String[][] stories = {{"500 Error", "ERROR"}, {"503 Full\r\nX-Not-Run: 1", "FULL"}, {"503 No", "ERROR"},
-            {"202 Accepted", "failed", "ERROR"}, {"202 Accepted", "returned", "FULL"}, {"202 Accepted", "lost", "RESET"}};
+            {"202 Accepted", "failed", "ERROR"}, {"202 Accepted", "returned", "FULL"},
+            {"202 Accepted", "lost", "RESET"}};
         for (int i = 0; i < stories.length; i++) {
             Socket consumer = post("j" + i, "price", "15000m");
             one.next("POST").reply(stories[i][0], "");
@@ -405,6 +407,35 @@
         assertEquals(200, ready());
     }
 
+    @Test
+    public void aConsumerThatAsksBeforeItsBodyIsToldToGoOn() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket consumer = connect();
+        Peer.write(consumer, "POST /api HTTP/1.1\r\nX-Request-Id: q1\r\nX-Class: price\r\nContent-Length: 3\r\n"
+                + "Expect: 100-continue\r\n\r\n");
+        assertEquals(100, Peer.read(consumer).status());
+        Peer.write(consumer, "job");
+        assertEquals("job", one.next("POST").body());
+        callBack("q1", "w1", "done");
+        assertEquals(200, Peer.read(consumer).status());
+    }
+
+    @Test
+    public void bytesOfAProviderThatNobodyAskedForAreNotTheNextAnswer() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket consumer = post("u1", "price", "15000m");
+        Arrived first = one.next("POST");
+        Peer.write(first.socket(), "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+        callBack("u1", "w1", "done");
+        Peer.read(consumer);
+        Peer.write(first.socket(), "HTTP/1.1 500 ");
+        assertSame("its connection ends", first.socket(), one.nextEnd());
+        post(consumer, "u2", "price", "15000m");
+        one.next("POST").accept();
+        callBack("u2", "w1", "done");
+        assertEquals(200, Peer.read(consumer).status());
+    }
+
     @Test
     public void beyondTheMostHeldAJobIsRejectedAtOnceAndAnIdHeldAlreadyIsAConflict() throws Exception {
         held = 1;
