--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -221,7 +221,7 @@
     /**
      * With many gateways nearly all workers tie at no job of ours, and what is known of them is old: some
      * of the ties are probed, and the first that answers with room gets the job. Waiting for all answers and
-     * taking the best would send all gateways to the same workers.
+     * taking the best would send all gateways to the same workers. Where nothing reports, none is granted.
      */
     private boolean probeFirst(long nowNs, Held h) {
         Node first = set.mayProbe && !lastChance(nowNs, h) ? pick(nowNs, h, false) : null;
--- a/src/test/java/postgrade/DecideTest.java
+++ b/src/test/java/postgrade/DecideTest.java
@@ -308,6 +308,16 @@
         assertTrue(after.get(0).startsWith(expected + " " + id), after.get(0));
     }
 
+    @Test
+    void notSentToAWorkerThatLeavesGoesToAnother() {
+        Decide d = start(settings().build(), "s1", "s2");
+        String id = job(d, 0, "unsafe");
+        String leaving = out.sentTo(id);
+        d.list(1, ListForm.CHANGES, List.of(new Worker(leaving, "z", "std", 0, Phase.DRAINING, 1, 0)));
+        d.finished(1, id, 0, Outcome.NOT_SENT, false, Load.NONE);
+        assertEquals(leaving.equals("s1") ? "s2" : "s1", out.sentTo(id));
+    }
+
     @ParameterizedTest
     @CsvSource({"zoned,s1,t1", "celled,s1,t1"})
     void keyedJobThatMayHaveRunStaysInItsGroup(String jobClass, String one, String same) {
