Take SIGHUP as a new configuration and move the watch to another discovery

The logs show "stopping" at the time of the signal, then "watch lost (closed)" 1.5 s later and nothing after that. Checked: SIGHUP is not ignored at the start; the virtual machine takes it for an end and runs the hook of SIGTERM. The drains broken are all later than the end of the old address, so sends to workers known as draining are ruled out. At fault: Main.serve, which handled no SIGHUP, and Watch, whose address was final.

Now the loop reads the file again; a faulty one stays out. The watch moves to the new address, asks for its whole list (versions of two addresses need not agree), and hears the former one until then.

--- a/src/main/java/postgrade/daemon/Config.java
+++ b/src/main/java/postgrade/daemon/Config.java
@@ -7,9 +7,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import postgrade.Dispatcher.JobClass;
 import postgrade.Dispatcher.Settings;
 import postgrade.benchlink.SettingsReader;
@@ -95,6 +97,22 @@
         }
     }
 
+    /** Reads the file again that this was read from. */
+    Config readAgain() throws Faulty {
+        return read(environment);
+    }
+
+    /** The keys whose new values would need a new start; seed and list concern the start alone. */
+    List<String> keysForNextStart(Config next) {
+        List<String> keys = new ArrayList<>();
+        for (String key : new String[] {"name", "listen", "limits", "settings"}) {
+            if (!Objects.equals(json.get(key), next.json.get(key))) {
+                keys.add(key);
+            }
+        }
+        return keys;
+    }
+
     private String text(String key, String variable) throws Faulty {
         JsonValue value = json.get(key);
         String text = value != null && value.isString() ? value.asString() : environment.getOrDefault(variable, "");
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -32,6 +32,7 @@
     static final long STOP_CHECK_MICROS = 20_000;
     private static final long MICROS_PER_SECOND = 1_000_000;
 
+    private final Config config;
     private final Loop loop;
     private final Gateway gateway;
     private final ProviderPools providers;
@@ -46,6 +47,7 @@
 
     /** With another module in the place of ours, and another patience with discovery. */
     Daemon(Config config, Function<Actions, Dispatcher> module, long silentMicros) throws IOException {
+        this.config = config;
         loop = new Loop(new SocketBudget(config.sockets));
         gateway = new Gateway(module, config.settings.mayDuplicate, config.mostHeld, loop);
         providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
@@ -110,6 +112,23 @@
         gateway.list(form, workers);
     }
 
+    /**
+     * Reads the configuration again and takes over what can change under way. A faulty one changes nothing. May be
+     * called from any thread.
+     */
+    void reload() {
+        loop.ask(() -> {
+            try {
+                Config next = config.readAgain();
+                String later = String.join(", ", config.keysForNextStart(next));
+                LOG.info("configuration read again" + (later.isEmpty() ? "" : "; only at the next start: " + later));
+                watch.move(next.discovery);
+            } catch (Config.Faulty e) {
+                LOG.warning("configuration not taken over, the former one stays: " + e.getMessage());
+            }
+        });
+    }
+
     /** Stops in order and returns when all that was taken is answered. May be called from any thread. */
     void stop() {
         loop.ask(() -> {
--- a/src/main/java/postgrade/daemon/Main.java
+++ b/src/main/java/postgrade/daemon/Main.java
@@ -8,6 +8,7 @@
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import sun.misc.Signal;
 
 /** The program: {@code serve} is one dispatcher on sockets, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -42,6 +43,9 @@
             System.exit(1);
             return;
         }
+        // Guards against the virtual machine's own way with SIGHUP, which is to end. No library of the JDK's own names
+        // signals but this one; it is part of the exported module jdk.unsupported.
+        Signal.handle(new Signal("HUP"), signal -> daemon.reload());
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         daemon.start();
     }
--- a/src/main/java/postgrade/discovery/Watch.java
+++ b/src/main/java/postgrade/discovery/Watch.java
@@ -18,6 +18,9 @@
 /**
  * Watches the list of providers. A watch that ends, or is silent for longer than its empty lines allow, is opened
  * again from the last version after a pause. Without any version it starts from 0, which brings the whole list.
+ *
+ * <p>Discovery may move. Versions of two addresses need not agree, so the new one is asked for its whole list first;
+ * until that has come the watch at the former address is still heard, and its end is no alarm.
  */
 public final class Watch {
 
@@ -27,21 +30,28 @@
      * keeps from us counts as told after 6 s, and it must be found out and opened again well before.
      */
     public static final long SILENT_MICROS = 3_000_000;
+    /** A whole list comes at once. Guards the drain rule: after a move all counts as told within 4 s. */
+    private static final long FETCH_MICROS = 1_000_000;
     private static final long PAUSE_MICROS = 200_000;
     private static final long MOST_PAUSE_MICROS = 1_000_000;
-    /** Guards the memory against a line that never ends. */
+    /** Guards the memory against a line or a list that never ends. */
     private static final int MOST_LINE = 4 << 20;
 
-    private final InetSocketAddress address;
     private final String host;
     private final Reactor reactor;
     private final Timers timers;
     private final Consumer<TargetList> taker;
     private final long silentMicros;
+    private InetSocketAddress address;
     private long version;
     private long pauseMicros = PAUSE_MICROS;
     private Session session;
+    /** The watch at the address before the last move, until the new one has told its list. */
+    private Session former;
+    /** The whole list of this address is still to be had. */
+    private boolean moved;
     private boolean lost;
+    private Timers.Timer again;
 
     /**
      * @param version of the list known already, 0 for none
@@ -59,13 +69,34 @@
     }
 
     public void open() {
-        session = new Session();
+        session = new Session(moved);
         session.connection = Connection.open(reactor, address, session, true);
         if (session.connection == null) {
-            broken("no connection");
+            session.end("no connection");
         }
     }
 
+    /** Discovery is at this address from now on. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        LOG.info("watch of the provider list moves from " + address + " to " + to);
+        if (again != null) {
+            again.cancel(); // No session is open.
+        } else if (moved) {
+            session.drop(); // It has told nothing yet; the one before it is still the best.
+        } else {
+            former = session;
+        }
+        session = null;
+        address = to;
+        moved = true;
+        pauseMicros = PAUSE_MICROS;
+        again = null;
+        open();
+    }
+
     private void broken(String why) {
         if (!lost) {
             lost = true;
@@ -73,43 +104,77 @@
                     + " and opened again");
         }
         session = null;
-        timers.at(timers.nowMicros() + pauseMicros, this::open);
+        again = timers.at(timers.nowMicros() + pauseMicros, () -> {
+            again = null;
+            open();
+        });
         pauseMicros = Math.min(MOST_PAUSE_MICROS, pauseMicros * 2);
     }
 
-    private void line(String text) {
+    private void heard() {
         pauseMicros = PAUSE_MICROS;
         if (lost) {
             lost = false;
             LOG.info("watch of the provider list is back at version " + version);
         }
-        if (!text.isBlank()) {
-            TargetList list = TargetList.of(Json.parse(text).asObject());
-            version = list.version();
-            taker.accept(list);
+    }
+
+    private void fetched(TargetList list) {
+        if (!list.whole()) {
+            throw new IllegalArgumentException("not a whole list");
+        }
+        heard();
+        moved = false;
+        version = list.version();
+        LOG.info("watch of the provider list has moved to " + address + " at version " + version);
+        if (former != null) {
+            former.drop();
+            former = null;
         }
+        taker.accept(list);
+    }
+
+    private static TargetList read(String text) {
+        return TargetList.of(Json.parse(text).asObject());
     }
 
     /** One connection of the watch. */
     private final class Session implements Connection.Owner {
         private final MessageParser parser = MessageParser.ofStream(this::piece);
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private boolean fetching;
         private Connection connection;
-        private Timers.Timer silence = timers.at(timers.nowMicros() + silentMicros, this::silent);
+        private Timers.Timer silence;
+
+        Session(boolean fetching) {
+            this.fetching = fetching;
+            awaitUntil(fetching ? Math.min(FETCH_MICROS, silentMicros) : silentMicros);
+        }
+
+        private void awaitUntil(long micros) {
+            silence = timers.at(timers.nowMicros() + micros, () -> end("silent"));
+        }
 
         @Override
         public void connected(Connection c) {
-            c.write(MessageWriter.request("GET", "/api/targets?watch=1&from=" + version).header("Host", host)
-                    .noBody());
+            ask(fetching ? "/api/targets" : "/api/targets?watch=1&from=" + version);
+        }
+
+        private void ask(String target) {
+            connection.write(MessageWriter.request("GET", target).header("Host", host).noBody());
         }
 
         @Override
         public void received(Connection c, ByteBuffer bytes) throws BadMessage {
-            silence.cancel();
-            silence = timers.at(timers.nowMicros() + silentMicros, this::silent);
+            if (!fetching) {
+                silence.cancel();
+                awaitUntil(silentMicros);
+            }
             try {
                 Message end = parser.parse(bytes);
-                if (end != null) {
+                if (end != null && fetching && end.status() == 200) {
+                    whole(end.keepsAlive());
+                } else if (end != null) {
                     end("answered " + end.status());
                 }
             } catch (RuntimeException e) {
@@ -118,9 +183,24 @@
             }
         }
 
+        /** The whole list has come: the watch follows it on the same connection, if that stays open. */
+        private void whole(boolean staysOpen) {
+            fetched(read(line.toString(StandardCharsets.UTF_8)));
+            line.reset();
+            fetching = false;
+            silence.cancel();
+            if (staysOpen) {
+                awaitUntil(silentMicros);
+                ask("/api/targets?watch=1&from=" + version);
+            } else {
+                drop();
+                open();
+            }
+        }
+
         private void piece(byte[] bytes) {
             for (byte b : bytes) {
-                if (b == '\n') {
+                if (b == '\n' && !fetching) {
                     String text = line.toString(StandardCharsets.UTF_8);
                     line.reset();
                     line(text);
@@ -134,20 +214,42 @@
         }
 
         private void line(String text) {
-            Watch.this.line(text);
-        }
-
-        private void silent() {
-            end("silent");
+            if (session == this) {
+                heard();
+            }
+            if (!text.isBlank()) {
+                TargetList list = read(text);
+                version = session == this ? list.version() : version;
+                taker.accept(list);
+            }
         }
 
-        private void end(String why) {
+        /** Ends the session; the watch is not told. */
+        void drop() {
             silence.cancel();
             if (connection != null) {
                 connection.close();
             }
+        }
+
+        void end(String why) {
+            drop();
             if (session == this) {
                 broken(why);
+            } else if (former == this) {
+                former = null; // Discovery has moved, and its former address ends what is open: no alarm.
+            }
+        }
+
+        @Override
+        public void ended(Connection c) {
+            Message end = parser.atEnd();
+            if (end != null && fetching && end.status() == 200) {
+                try {
+                    whole(false);
+                } catch (RuntimeException e) {
+                    end("not understood: " + e.getMessage());
+                }
             }
         }
 
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -17,7 +17,7 @@
     static final int MOST_HEAD = 16 << 10;
     static final int MOST_HEADERS = 64;
     private static final int SMALL = 256;
-    private static final int MOST_STREAM_CHUNK = 16 << 20;
+    private static final int MOST_STREAM_PIECE = 16 << 20;
 
     private enum Part { START_LINE, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
 
@@ -230,7 +230,7 @@
         long length = -1;
         for (int i = 0; i < message.names.size(); i++) {
             if (message.names.get(i).equals("content-length")) {
-                long next = number(message.values.get(i), 10, MOST_BODY, 413);
+                long next = number(message.values.get(i), 10, mostBody(), 413);
                 if (length >= 0 && next != length) {
                     throw new BadMessage(400, "two lengths");
                 }
@@ -240,10 +240,13 @@
         return length;
     }
 
+    private int mostBody() {
+        return stream == null ? MOST_BODY : MOST_STREAM_PIECE;
+    }
+
     private void chunkSize(String text) throws BadMessage {
         int end = text.indexOf(';');
-        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16,
-                stream == null ? MOST_BODY : MOST_STREAM_CHUNK, 413);
+        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16, mostBody(), 413);
         part = left == 0 ? Part.TRAILERS : Part.CHUNK;
         headLength = left == 0 ? headLength : 0;
     }
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -23,6 +23,7 @@
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
 import postgrade.daemon.Peer.Arrived;
+import postgrade.discovery.Watch;
 
 /** Stories over loopback: the whole daemon against scripted peers, one for each thing that goes wrong. */
 public class StoriesTest {
@@ -382,6 +383,36 @@
         assertEquals(200, ready());
     }
 
+    @Test
+    public void aMovedWatchTakesTheWholeListAndHearsTheFormerAddressUntilThen() throws Exception {
+        Path file = Path.of(configuration(server("w1", one.address(), "ready")).get("ROUTER_CONFIG"));
+        daemon = new Daemon(Config.read(Map.of("ROUTER_CONFIG", file.toString())), out -> script = new Script(out),
+                Watch.SILENT_MICROS);
+        daemon.start();
+        script.hears("list STORED [w1 READY]");
+        Arrived former = discovery.next("GET /api/targets?watch=1&from=41 ");
+        Peer.write(former.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        try (Peer next = new Peer()) {
+            Files.writeString(file, Files.readString(file).replace(discovery.address(), next.address()));
+            daemon.reload();
+            Arrived whole = next.next("GET /api/targets ");
+            chunk(former, json(42, false, server("w2", two.address(), "ready")));
+            script.hears("list CHANGES [w2 READY]");
+            assertEquals("served from the known list", 200, ready());
+            whole.reply("200 OK", json(7, true, server("w2", two.address(), "draining")));
+            script.hears("list FULL [w2 DRAINING]");
+            assertSame("the former watch is ended", former.socket(), discovery.nextEnd());
+            Arrived watch = next.next("GET /api/targets?watch=1&from=7 ");
+            assertSame(whole.socket(), watch.socket());
+            Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            chunk(watch, json(8, false, server("w2", two.address(), "ready")));
+            script.hears("list CHANGES [w2 READY]");
+            watch.breakOff();
+            next.next("GET /api/targets?watch=1&from=8 ");
+            assertTrue(discovery.nothingArrived());
+        }
+    }
+
     // ---- Bounds.
 
     @Test
@@ -553,16 +584,23 @@
     }
 
     @Test
-    public void theProgramEndsInOrderOnSigtermAndNamesAFaultyKey() throws Exception {
+    public void theProgramReloadsOnSighupEndsInOrderOnSigtermAndNamesAFaultyKey() throws Exception {
         Map<String, String> good = configuration(server("w1", one.address(), "ready"));
         Process p = program(good);
         discovery.next("GET /api/targets?watch=1&from=41 ");
+        hangUp(p, good, discovery.address(), two.address());
+        Arrived whole = two.next("GET /api/targets ");
+        hangUp(p, good, "discovery", "nowhere"); // Faulty.
+        whole.reply("200 OK", json(1, true, server("w1", one.address(), "ready")));
+        two.next("GET /api/targets?watch=1&from=1 ");
         p.toHandle().destroy(); // SIGTERM; the process object itself would close its log too.
         String log = new String(p.getErrorStream().readAllBytes());
         assertTrue("ended", p.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(log, log.contains("the former one stays: discovery"));
+        assertFalse("the move is no alarm: " + log, log.contains("list lost"));
         assertTrue(log, log.contains("all answered"));
         Path file = Path.of(good.get("ROUTER_CONFIG"));
-        Files.writeString(file, Files.readString(file).replace("read_like", "perhaps"));
+        Files.writeString(file, Files.readString(file).replace("nowhere", "discovery").replace("read_like", "perhaps"));
         p = program(good);
         log = new String(p.getErrorStream().readAllBytes());
         assertEquals(2, p.waitFor());
@@ -575,6 +613,13 @@
         }
     }
 
+    /** Replaces a word of the configuration file and sends SIGHUP. */
+    private static void hangUp(Process p, Map<String, String> environment, String from, String to) throws Exception {
+        Path file = Path.of(environment.get("ROUTER_CONFIG"));
+        Files.writeString(file, Files.readString(file).replace(from, to));
+        new ProcessBuilder("kill", "-HUP", "" + p.pid()).start().waitFor();
+    }
+
     private static Process program(Map<String, String> environment) throws IOException {
         ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "postgrade.daemon.Main", "serve");
