Serve on after SIGTERM until SIGKILL is near, on connections that stay open

The logs show two dispatchers restarted in turn, the second told to stop at 16.1 s while the first was back at 18.2 s only. Consumers with a connection were turned away 0.9 s after the signal. Checked: the restart does not come sooner when we end sooner (4.1 to 4.3 s after the signal either way), so leaving early gains nothing. PROTOCOL lets consumers use their connections as long as they are open, and SIGKILL comes 3.7 s after. At fault: Daemon.STOP_MICROS and Listener.stopping, which closed them.

Now answers end connections from 2.3 s on, and what came later than 0.7 s after the signal and is unanswered at 3.4 s is answered as it stands.

--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/src/main/java/postgrade/consumer/Listener.java
@@ -39,6 +39,7 @@
     private long bytesHeld;
     private boolean isShort;
     private boolean stopping;
+    private boolean leaving;
 
     /** @param able whether an invocation could be served now */
     public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, BooleanSupplier able,
@@ -124,17 +125,21 @@
         return !stopping && able.getAsBoolean();
     }
 
-    boolean stopping() {
-        return stopping;
+    boolean leaving() {
+        return leaving;
     }
 
-    /** No longer ready, though everything that comes is still served. Answers ask for the connection's end. */
+    /** No longer ready, though everything that comes is still served, on connections that stay open. */
     public void beginStop() {
         stopping = true;
     }
 
-    /** Closes the consumers' connections that await no answer, so that they turn elsewhere. */
-    public void closeIdle() {
+    /**
+     * Closes the consumers' connections that await no answer, so that they turn elsewhere. Answers from now on ask for
+     * the connection's end.
+     */
+    public void leave() {
+        leaving = true;
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.closeIfIdle();
         }
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -27,8 +27,13 @@
 
     private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
     private static final long NANOS = 1_000;
-    /** After SIGTERM new consumers may still come for a while; all that comes until then is served as ever. */
-    private static final long STOP_MICROS = 900_000;
+    /** What comes up to so long after SIGTERM may be left to SIGKILL; what comes later may not. */
+    private static final long TAKEN_MICROS = 700_000;
+    /** SIGKILL follows the longest deadline, or this if that is longer, and {@link #TAKEN_MICROS} at the earliest. */
+    private static final long MOST_GRACE_MICROS = 3_000_000;
+    /** So long before SIGKILL consumers are turned away, and then answered whatever their jobs have come to. */
+    private static final long LEAVE_MICROS = 1_400_000;
+    private static final long CONCLUDE_MICROS = 300_000;
     static final long STOP_CHECK_MICROS = 20_000;
     private static final long MICROS_PER_SECOND = 1_000_000;
 
@@ -135,7 +140,9 @@
             LOG.info("stopping: no longer ready, serving on");
             stopFromMicros = loop.nowMicros();
             listener.beginStop();
-            loop.at(stopFromMicros + STOP_MICROS, this::finish);
+            // Guards the consumers who hold a connection: while it is open they go on using it, and until SIGKILL
+            // is near they are served as well here as anywhere. All of us may be restarting in turn.
+            loop.at(killMicros() - LEAVE_MICROS, this::finish);
         });
         try {
             // Guards against an exit in mid-answer: the virtual machine ends once its shutdown hooks have returned.
@@ -145,8 +152,17 @@
         }
     }
 
+    private long killMicros() {
+        long longest = config.deadlineMicros.values().stream().mapToLong(d -> d).max().orElse(MOST_GRACE_MICROS);
+        return stopFromMicros + Math.min(longest, MOST_GRACE_MICROS) + TAKEN_MICROS;
+    }
+
     private void finish() {
-        listener.closeIdle();
+        listener.leave();
+        if (loop.nowMicros() >= killMicros() - CONCLUDE_MICROS) {
+            // Guards the one answer: what SIGKILL finds unanswered of these is lost.
+            gateway.concludeSince(stopFromMicros + TAKEN_MICROS);
+        }
         if (gateway.idle() && providers.quiet() && listener.quiet()) {
             LOG.info("stopped after " + (loop.nowMicros() - stopFromMicros) / (MICROS_PER_SECOND / 1000)
                     + " ms, all answered");
--- a/src/main/java/postgrade/gateway/Gateway.java
+++ b/src/main/java/postgrade/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package postgrade.gateway;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -76,6 +77,7 @@
         }
         open.put(in.id, in);
         waiting++;
+        in.arrivedMicros = timers.nowMicros();
         in.overdue = timers.at(in.deadlineMicros + OVERDUE_MICROS, () -> overdue(in));
         events.add(now -> {
             try {
@@ -99,6 +101,21 @@
         }
     }
 
+    /** Answers whatever has come since then and is unanswered, as there is no time left to serve it. */
+    public void concludeSince(long micros) {
+        for (Invocation in : new ArrayList<>(open.values())) {
+            if (!in.answered && in.arrivedMicros >= micros) {
+                answer(in);
+                if (in.calls.isEmpty()) {
+                    in.consumer.reject(FULL_RETRY_MICROS); // It has run nowhere.
+                } else {
+                    in.consumer.fail(false);
+                }
+                tell(in, now -> module.abandoned(now, in.id));
+            }
+        }
+    }
+
     /** A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over. */
     public void report(String id, String from, JobState state, double share, byte[] result) {
         Invocation in = open.get(id);
--- a/src/main/java/postgrade/gateway/Invocation.java
+++ b/src/main/java/postgrade/gateway/Invocation.java
@@ -20,6 +20,7 @@
     int callsOut;
     int untold;
     boolean answered;
+    long arrivedMicros;
     Timers.Timer overdue;
 
     /** @param tenant or key null where there is none */
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotSame;
+import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertSame;
 import static org.junit.Assert.assertTrue;
 import static org.junit.Assert.fail;
@@ -610,6 +611,37 @@
         assertFalse(stop.isAlive());
     }
 
+    @Test
+    public void aStopServesOnAndInTheEndAnswersWhatCameTooLateToBeServed() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        Socket kept = post("z1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("z1", "w1", "done");
+        Peer.read(kept);
+        Thread stop = new Thread(daemon::stop);
+        long start = System.nanoTime();
+        stop.start();
+        while (ready() == 200) {
+            Thread.onSpinWait();
+        }
+        while (System.nanoTime() - start < 1_000_000_000L) { // Later than what SIGKILL may find unanswered.
+            post(kept, "z2" + System.nanoTime(), "price", "15000m");
+            Arrived job = one.next("POST");
+            job.accept();
+            callBack(job.header("X-Request-Id"), "w1", "done");
+            Arrived answer = Peer.read(kept);
+            assertEquals("served on", 200, answer.status());
+            assertNull("on a connection that stays", answer.header("Connection"));
+        }
+        post(kept, "z3", "confirm", "6000m");
+        one.next("POST").accept();
+        assertEquals(502, Peer.read(kept).status());
+        one.next("DELETE /jobs/z3 ").reply("200 OK", "");
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse(stop.isAlive());
+    }
+
     @Test
     public void theProgramReloadsOnSighupEndsInOrderOnSigtermAndNamesAFaultyKey() throws Exception {
         Map<String, String> good = configuration(server("w1", one.address(), "ready"));
