--- a/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -22,13 +22,23 @@
     /** Bodies up to this length are taken whatever is held; call-backs are such. */
     private static final int SMALL = 4 << 10;
     private static final long FULL_RETRY_MICROS = 500_000;
-    /** A request must be whole, and an answer taken, within this time; guards against peers that trickle. */
-    private static final long STALL_MICROS = 15_000_000;
+    /**
+     * A request must be whole so long after the connection came, or after its first byte on a connection that has
+     * carried one. Guards against peers that trickle or say nothing: who sends rubbish is owed an error or a close
+     * within 3 s of connecting, however busily it sends.
+     */
+    private static final long REQUEST_MICROS = 2_000_000;
+    /** An answer must be taken within this time. */
+    private static final long STALL_MICROS = 5_000_000;
     private static final long IDLE_MICROS = 300_000_000;
-    /** A new connection is not idle for so long: its first request may be on the way. */
-    private static final long FRESH_MICROS = 1_000_000;
+    /** A new connection, or one with a request begun, is not idle for so long: the rest may be on the way. */
+    private static final long FRESH_MICROS = 50_000;
     /** A peer that was told of the connection's end has this time to end its own side. */
-    private static final long LINGER_MICROS = 2_000_000;
+    private static final long LINGER_MICROS = 1_000_000;
+    /** A connection that has carried so many requests of use is past its probation. */
+    private static final int PROVED = 2;
+    /** Guards the memory against a peer that asks and asks and does not read. */
+    private static final long MOST_UNSENT = 256 << 10;
     /** Bytes kept of requests that come before the one ahead of them is answered. */
     private static final int MOST_AHEAD = MessageParser.MOST_BODY * 2;
 
@@ -41,17 +51,26 @@
     private boolean ofConsumer;
     private long accounted;
     private long activeMicros;
+    /** When the request that is coming in began; the first one begins with the connection. */
+    private long requestMicros;
+    /** Requests that were of use, whatever their answer. */
+    private int useful;
+    private boolean turnedAway;
 
     ConsumerConnection(Listener listener, SocketChannel channel) throws IOException {
         this.listener = listener;
         activeMicros = listener.timers.nowMicros();
+        requestMicros = activeMicros;
         connection = Connection.accepted(listener.reactor, channel, this);
     }
 
     @Override
     public void received(Connection c, ByteBuffer bytes) throws BadMessage {
         activeMicros = listener.timers.nowMicros();
-        connection.idle(false);
+        connection.idle(false, false);
+        if (useful > 0 && exchange == null && parser.atStart()) {
+            requestMicros = activeMicros;
+        }
         if (ahead.hasRemaining()) {
             if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
                 connection.close();
@@ -60,6 +79,9 @@
             }
             bytes = ByteBuffer.allocate(ahead.remaining() + bytes.remaining()).put(ahead).put(bytes).flip();
         }
+        if (exchange != null && !MessageParser.mayBeRequest(bytes)) {
+            throw new BadMessage(400, "more bytes than the request has");
+        }
         parse(bytes);
         if (parser.bodySoFar() > SMALL && listener.holdsTooMuch()) {
             parser = MessageParser.ofRequests(); // With it goes what was held; the rest is not read.
@@ -67,6 +89,9 @@
             exchange.reject(FULL_RETRY_MICROS);
             account();
         }
+        // Guards the loop's time: who sends the same rubbish as soon as it is turned away is read from again at the
+        // next sweep only.
+        connection.pause(turnedAway && !connection.isClosing());
     }
 
     /** Takes requests one after another, as long as each is answered at once. */
@@ -75,8 +100,16 @@
         while (exchange == null && bytes.hasRemaining() && connection.isOpen() && !connection.isClosing()) {
             Message request = parser.parse(bytes);
             boolean waits = parser.takeExpectation();
-            if (request != null) {
+            if (request != null && bytes.hasRemaining() && !MessageParser.mayBeRequest(bytes)) {
+                // Guards the providers: a length that is too small has cut the job's body short.
+                throw new BadMessage(400, "more bytes than the request has");
+            } else if (request != null) {
+                requestMicros = activeMicros;
                 handle(request);
+                if (connection.bytesUnsent() > MOST_UNSENT) {
+                    connection.close();
+                    closed(connection);
+                }
             } else if (waits) {
                 connection.write(MessageWriter.response(100).noBody());
             }
@@ -86,7 +119,6 @@
         if (bytes.hasRemaining()) {
             ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         }
-        connection.idle(!busy());
         account();
     }
 
@@ -105,26 +137,43 @@
             if (request.method().equals("POST")) {
                 invoke(request);
             } else {
-                answer(405, "only POST is taken here", request.keepsAlive());
+                turnAway(405, "only POST is taken here", request.keepsAlive());
             }
         } else if (path.equals("/-/ready")) {
+            useful++;
             boolean ready = listener.readyToServe();
             answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", request.keepsAlive());
         } else if (path.equals(JobEvents.PATH) && request.method().equals("POST")) {
             String error = JobEvents.take(request.body(), listener.gateway);
-            answer(error == null ? 204 : 400, error == null ? "" : error, request.keepsAlive());
+            useful += error == null ? 1 : 0;
+            if (error == null) {
+                answer(204, "", request.keepsAlive());
+            } else {
+                turnAway(400, error, request.keepsAlive());
+            }
         } else {
-            answer(404, "no such page\n", request.keepsAlive());
+            turnAway(404, "no such page", request.keepsAlive());
         }
     }
 
     private void invoke(Message request) {
         String jobClass = request.header("x-class");
         String id = request.header("x-request-id");
+        String tenant = request.header("x-tenant");
+        String key = request.header("x-key");
+        if (!request.statesLength()) {
+            turnAway(411, "a job needs a body with a stated length", request.keepsAlive());
+            return;
+        }
         Long classDeadline = jobClass == null ? null : listener.deadlineMicros.get(jobClass);
-        if (!Fields.isId(id) || classDeadline == null) {
-            answer(400, Fields.isId(id) ? "X-Class is not known\n" : "X-Request-Id is missing or no id\n",
-                    request.keepsAlive());
+        String wrong = !Fields.isId(id) ? "X-Request-Id is missing or no id"
+                : classDeadline == null ? "X-Class is not known"
+                : !listener.knowsTenant(tenant) ? "X-Tenant is not known"
+                : !Fields.isName(key) ? "X-Key is no name"
+                : !Fields.isName(request.header("content-type")) ? "Content-Type is no name"
+                : Fields.ONCE.stream().anyMatch(name -> request.count(name) > 1) ? "a header is repeated" : null;
+        if (wrong != null) {
+            turnAway(400, wrong, request.keepsAlive());
             return;
         }
         long deadline;
@@ -134,8 +183,11 @@
             deadline = Fields.deadlineMicros(request.header("x-deadline"), classDeadline);
             slots = Fields.extra(request.header("x-extras"), "slots", 1);
             memory = Fields.extra(request.header("x-extras"), "memory", 0);
+            if (slots == 0) {
+                throw new IllegalArgumentException("X-Extras has no slots");
+            }
         } catch (IllegalArgumentException e) {
-            answer(400, e.getMessage() + "\n", request.keepsAlive());
+            turnAway(400, e.getMessage(), request.keepsAlive());
             return;
         }
         Exchange opened = new Exchange(request.keepsAlive());
@@ -145,15 +197,23 @@
             return;
         }
         opened.size = request.body().length;
-        opened.invocation = new Invocation(id, jobClass, request.header("x-tenant"), request.header("x-key"), slots,
-                memory, listener.timers.nowMicros() + deadline,
+        opened.invocation = new Invocation(id, jobClass, tenant, key, slots, memory,
+                listener.timers.nowMicros() + deadline,
                 new Payload(request.method(), request.target(), request.header("content-type"), request.body()),
                 opened);
-        if (!listener.gateway.open(opened.invocation)) {
-            opened.answer(409, NONE, null);
+        if (listener.gateway.open(opened.invocation)) {
+            useful++;
+        } else {
+            exchange = null;
+            turnAway(409, "a job with this id is open", request.keepsAlive());
         }
     }
 
+    private void turnAway(int status, String why, boolean keepsAlive) {
+        turnedAway = true;
+        answer(status, why + "\n", keepsAlive);
+    }
+
     private void answer(int status, String text, boolean keepsAlive) {
         write(status, text.getBytes(StandardCharsets.UTF_8), null, keepsAlive);
     }
@@ -173,18 +233,40 @@
     }
 
     void sweep(long nowMicros) {
-        long most = connection.isClosing() ? LINGER_MICROS : busy() ? STALL_MICROS : IDLE_MICROS;
-        if (exchange == null && nowMicros - activeMicros > most) {
-            connection.close();
+        turnedAway = false;
+        connection.pause(false);
+        if (exchange != null) {
+            return;
         }
-        if (!connection.isOpen()) {
-            listener.closed(this);
-        } else if (!busy() && nowMicros - activeMicros > FRESH_MICROS) {
-            connection.idle(true);
+        boolean awaited = useful == 0 || !parser.atStart();
+        long due = connection.isClosing() ? activeMicros + LINGER_MICROS
+                : !connection.allSent() ? activeMicros + STALL_MICROS
+                : awaited ? requestMicros + REQUEST_MICROS : activeMicros + IDLE_MICROS;
+        if (nowMicros >= due) {
+            expire();
+        } else if (connection.allSent()
+                && (connection.isClosing() || !awaited || nowMicros - requestMicros >= FRESH_MICROS)) {
+            connection.idle(true, useful < PROVED);
         }
         account();
     }
 
+    /** A request begun is answered; a connection that says nothing, or has been told, is closed. */
+    private void expire() {
+        if (!parser.atStart() && connection.allSent() && !connection.isClosing()) {
+            parser = MessageParser.ofRequests();
+            answer(408, "the request has not come whole\n", false);
+        } else {
+            connection.close();
+            listener.closed(this);
+        }
+    }
+
+    /** Has carried nothing of use yet and has hardly had the time to. */
+    boolean fresh(long nowMicros) {
+        return useful == 0 && nowMicros - requestMicros < FRESH_MICROS;
+    }
+
     /** Not one that has carried no job yet: a provider's call-back, which we still wait for, may be on its way. */
     void closeIfIdle() {
         if (!busy() && ofConsumer) {
@@ -197,13 +279,21 @@
     @Override
     public void bad(Connection c, BadMessage e) {
         parsing = false;
+        parser = MessageParser.ofRequests();
+        ahead = ByteBuffer.allocate(0);
+        leave();
         answer(e.status(), e.getMessage() + "\n", false);
+        account();
     }
 
     @Override
     public void closed(Connection c) {
         listener.closed(this);
         account();
+        leave();
+    }
+
+    private void leave() {
         if (exchange != null) {
             Exchange left = exchange;
             exchange = null;
--- a/src/main/java/postgrade/consumer/JobEvents.java
+++ b/src/main/java/postgrade/consumer/JobEvents.java
@@ -34,7 +34,7 @@
             result = event.get("result");
         } catch (RuntimeException e) {
             // Guards against call-backs that are not JSON or lack a field: told to the sender, never a crash.
-            return "not a job event: id, from and state are needed\n";
+            return "not a job event: id, from and state are needed";
         }
         JobState known = state(state);
         if (known != null) {
--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/src/main/java/postgrade/consumer/Listener.java
@@ -25,29 +25,41 @@
     private static final int BACKLOG = 1024;
     /** The most bytes of bodies held, in part or whole; well within the heap. */
     private static final long MOST_BYTES = 24 << 20;
-    private static final long SWEEP_MICROS = 1_000_000;
+    private static final long SWEEP_MICROS = 50_000;
+    /** Guards the turn: a flood of connections is accepted in parts. */
+    private static final int MOST_ACCEPTS = 64;
+    /** Consumers that wait in the backlog for longer than a moment are worth a line in the log. */
+    private static final long SHORT_MICROS = 1_000_000;
 
     final Reactor reactor;
     final Timers timers;
     final Gateway gateway;
     /** The deadline of each class, for requests that state none. */
     final Map<String, Long> deadlineMicros;
+    private final Set<String> tenants;
     private final BooleanSupplier able;
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private long bytesHeld;
-    private boolean isShort;
+    private boolean paused;
+    /** Since when every place has been taken, 0 if there are places; and whether the log says so. */
+    private long shortMicros;
+    private boolean told;
     private boolean stopping;
     private boolean leaving;
 
-    /** @param able whether an invocation could be served now */
-    public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, BooleanSupplier able,
-            Gateway gateway, Reactor reactor, Timers timers) throws IOException {
+    /**
+     * @param tenants who may submit jobs; empty where there are none
+     * @param able whether an invocation could be served now
+     */
+    public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, Set<String> tenants,
+            BooleanSupplier able, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
         this.reactor = reactor;
         this.timers = timers;
         this.gateway = gateway;
         this.deadlineMicros = deadlineMicros;
+        this.tenants = tenants;
         this.able = able;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -62,9 +74,23 @@
         return ((InetSocketAddress) channel.getLocalAddress()).getPort();
     }
 
+    @Override
+    public Order order() {
+        return Order.LAST;
+    }
+
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        while (reactor.sockets().takeToAccept()) {
+        for (int i = 0; i < MOST_ACCEPTS; i++) {
+            // Guards the connections that usual peers keep: those that have just come and may be of no use are
+            // waited for, a moment, before one of the others has to go.
+            boolean anyIdle = connections.stream().noneMatch(c -> c.fresh(timers.nowMicros()));
+            if (!reactor.sockets().takeToAccept(anyIdle)) {
+                // Guards what waits in the backlog: it is left there, not accepted and closed, until there is a place.
+                pause(true);
+                shortMicros = shortMicros == 0 ? timers.nowMicros() : shortMicros;
+                return;
+            }
             boolean kept = false;
             SocketChannel accepted = channel.accept();
             try {
@@ -82,14 +108,22 @@
                 }
             }
         }
-        // Guards what waits in the backlog: it is left there, not accepted and closed, until a socket is free.
-        shortOfSockets(true);
     }
 
-    private void shortOfSockets(boolean now) {
-        if (now != isShort) {
-            isShort = now;
-            key.interestOps(isShort ? 0 : SelectionKey.OP_ACCEPT);
+    private void pause(boolean now) {
+        if (now != paused) {
+            paused = now;
+            key.interestOps(paused ? 0 : SelectionKey.OP_ACCEPT);
+        }
+    }
+
+    private void tellOfShortage(long nowMicros) {
+        if (!paused) {
+            shortMicros = 0;
+        }
+        boolean isShort = shortMicros != 0 && nowMicros - shortMicros >= SHORT_MICROS;
+        if (isShort != told) {
+            told = isShort;
             LOG.warning(isShort ? "sockets used up by busy connections; accepting no more for now"
                     : "sockets free again; accepting");
         }
@@ -106,21 +140,22 @@
 
     void closed(ConsumerConnection c) {
         connections.remove(c);
-        if (isShort) {
-            shortOfSockets(false);
-        }
+        pause(false);
     }
 
     private void sweep() {
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.sweep(timers.nowMicros());
         }
-        if (isShort) {
-            shortOfSockets(false); // A provider's connection may have been closed.
-        }
+        tellOfShortage(timers.nowMicros());
+        pause(false); // A provider's connection may have been closed, or one become idle.
         timers.at(timers.nowMicros() + SWEEP_MICROS, this::sweep);
     }
 
+    boolean knowsTenant(String name) {
+        return name == null || (tenants.isEmpty() ? Fields.isName(name) : tenants.contains(name));
+    }
+
     boolean readyToServe() {
         return !stopping && able.getAsBoolean();
     }
@@ -154,6 +189,6 @@
     public void failed(Exception e) {
         // Guards the loop: an accept may fail for want of descriptors, and the listener must outlive it.
         LOG.log(Level.WARNING, "accept failed", e);
-        shortOfSockets(true);
+        pause(true);
     }
 }
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -3,14 +3,17 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import postgrade.Decide;
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Phase;
+import postgrade.Dispatcher.Tenant;
 import postgrade.Dispatcher.Worker;
 import postgrade.consumer.Listener;
 import postgrade.discovery.TargetList;
@@ -60,7 +63,8 @@
         if (config.known != null) {
             list(ListForm.STORED, config.known);
         }
-        listener = new Listener(config.listen, config.deadlineMicros, () -> providers.readyCount() > 0, gateway, loop,
+        Set<String> tenants = config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
+        listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0, gateway, loop,
                 loop);
         long version = config.known == null ? 0 : config.known.version();
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
--- a/src/main/java/postgrade/daemon/Loop.java
+++ b/src/main/java/postgrade/daemon/Loop.java
@@ -93,12 +93,15 @@
         }
     }
 
-    /** Urgent channels go first: what discovery has told must be known before anything else is looked at. */
+    /**
+     * Discovery goes first: what it has told must be known before anything else is looked at. The listener goes last:
+     * a connection whose request has come is not taken for a silent one when room is made for the next.
+     */
     private void serve(List<SelectionKey> keys) {
-        for (boolean urgent : new boolean[] {true, false}) {
+        for (Handler.Order order : Handler.Order.values()) {
             for (SelectionKey key : keys) {
                 Handler handler = (Handler) key.attachment();
-                if (handler.urgent() == urgent && key.isValid()) {
+                if (handler.order() == order && key.isValid()) {
                     serve(key, handler);
                 }
             }
--- a/src/main/java/postgrade/gateway/Gateway.java
+++ b/src/main/java/postgrade/gateway/Gateway.java
@@ -158,6 +158,18 @@
         end(call, outcome, null);
     }
 
+    /**
+     * The provider cannot use what the consumer sent. Guards the providers: no other will, and it is no failure of
+     * this one's, so the module hears of a call that is no longer waited for.
+     */
+    public void unusable(InvokerCall call) {
+        if (call.out() && !call.invocation.answered) {
+            answer(call.invocation);
+            call.invocation.consumer.fail(false);
+        }
+        end(call, Outcome.CANCELLED, null);
+    }
+
     public void probed(String providerId, boolean answered) {
         events.add(now -> module.probed(now, providerId, answered, Load.NONE));
     }
--- a/src/main/java/postgrade/http/BadMessage.java
+++ b/src/main/java/postgrade/http/BadMessage.java
@@ -5,7 +5,7 @@
     private static final long serialVersionUID = 1L;
     private final int status;
 
-    BadMessage(int status, String message) {
+    public BadMessage(int status, String message) {
         super(message, null, false, false);
         this.status = status;
     }
--- a/src/main/java/postgrade/http/Connection.java
+++ b/src/main/java/postgrade/http/Connection.java
@@ -38,6 +38,7 @@
     private boolean connecting;
     private boolean closing;
     private boolean closed;
+    private boolean paused;
 
     private Connection(Reactor reactor, SocketChannel channel, Owner owner, boolean urgent) {
         this.reactor = reactor;
@@ -55,7 +56,7 @@
 
     /** Begins to connect. Null if the budget has no socket or the system refuses at once. */
     public static Connection open(Reactor reactor, InetSocketAddress to, Owner owner, boolean urgent) {
-        if (!reactor.sockets().takeToConnect()) {
+        if (!reactor.sockets().takeToConnect(urgent)) {
             return null;
         }
         Connection c = null;
@@ -82,8 +83,8 @@
     }
 
     @Override
-    public boolean urgent() {
-        return urgent;
+    public Order order() {
+        return urgent ? Order.FIRST : Order.USUAL;
     }
 
     @Override
@@ -162,12 +163,24 @@
         while (!unsent.isEmpty() && !unsent.peek().hasRemaining()) {
             unsent.poll();
         }
-        key.interestOps(SelectionKey.OP_READ | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+        interest();
         if (unsent.isEmpty() && closing) {
             channel.shutdownOutput();
         }
     }
 
+    private void interest() {
+        key.interestOps((paused ? 0 : SelectionKey.OP_READ) | (unsent.isEmpty() ? 0 : SelectionKey.OP_WRITE));
+    }
+
+    /** While paused nothing more is read; the peer's own system holds it back. */
+    public void pause(boolean now) {
+        if (paused != now && !closed && !connecting) {
+            paused = now;
+            interest();
+        }
+    }
+
     /** All that was to be written has been given to the system, the last byte too. */
     public boolean allSent() {
         return !connecting && unsent.isEmpty();
@@ -185,10 +198,10 @@
         return !closed;
     }
 
-    /** An idle connection may be closed for a new one when sockets are short. */
-    public void idle(boolean isIdle) {
+    /** An idle connection may be closed for a new one when sockets are short, one on probation before all others. */
+    public void idle(boolean isIdle, boolean onProbation) {
         if (!closed) {
-            reactor.sockets().idle(this, isIdle);
+            reactor.sockets().idle(this, isIdle, onProbation);
         }
     }
 
@@ -235,7 +248,7 @@
             return;
         }
         closed = true;
-        reactor.sockets().idle(this, false);
+        reactor.sockets().idle(this, false, false);
         reactor.sockets().giveBack();
         try {
             channel.close();
--- a/src/main/java/postgrade/http/Message.java
+++ b/src/main/java/postgrade/http/Message.java
@@ -1,6 +1,7 @@
 package postgrade.http;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 /** One request or response. Header names are kept in lower case. */
@@ -39,6 +40,16 @@
         return at < 0 ? null : values.get(at);
     }
 
+    /** How many headers there are of this name (in lower case). */
+    public int count(String name) {
+        return Collections.frequency(names, name);
+    }
+
+    /** The message says how long its body is, be it empty. */
+    public boolean statesLength() {
+        return header("content-length") != null || header("transfer-encoding") != null;
+    }
+
     /** Whether one of a header's comma-separated values is this word, in any case. */
     boolean lists(String name, String word) {
         for (int i = 0; i < names.size(); i++) {
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Reads messages from bytes as they come, one at a time. Every part is bounded, so that no peer can make us hold
@@ -19,6 +20,9 @@
     private static final int SMALL = 256;
     private static final int MOST_STREAM_PIECE = 16 << 20;
 
+    /** As much of a start line as may have come. */
+    private static final Pattern BEGINNING = Pattern.compile("\\r?|[A-Z]{0,16}|[A-Z]{1,16} (/.*)?");
+
     private enum Part { START_LINE, HEADERS, BODY, TO_THE_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
 
     private final boolean requests;
@@ -50,6 +54,18 @@
         return new MessageParser(false, pieces);
     }
 
+    /** Whether the bytes may be the beginning of a request, as far as they go. They stay unread. */
+    public static boolean mayBeRequest(ByteBuffer bytes) {
+        try {
+            MessageParser parser = ofRequests();
+            parser.parse(bytes.duplicate());
+            return parser.part != Part.START_LINE
+                    || BEGINNING.matcher(new String(parser.line, 0, parser.lineLength, StandardCharsets.ISO_8859_1)).matches();
+        } catch (BadMessage e) {
+            return false;
+        }
+    }
+
     /** Nothing of a next message has been read. */
     public boolean atStart() {
         return part == Part.START_LINE && lineLength == 0;
@@ -197,14 +213,15 @@
     /** True if the message has no body. */
     private boolean endHead() throws BadMessage {
         boolean chunked = message.header("transfer-encoding") != null;
-        if (chunked && !message.header("transfer-encoding").equalsIgnoreCase("chunked")) {
+        if (chunked && (message.http10 || !message.header("transfer-encoding").equalsIgnoreCase("chunked"))) {
             throw new BadMessage(400, "transfer encoding not known");
         }
-        long length = length();
-        if (chunked && length >= 0) {
-            // Guards against smuggling: two readings of where the message ends.
-            throw new BadMessage(400, "both a length and a transfer encoding");
+        // Guards against smuggling: whatever leaves two readings of where the message ends.
+        if (message.count("content-length") + message.count("transfer-encoding") > 1) {
+            throw new BadMessage(400, "more than one length or transfer encoding");
         }
+        String stated = message.header("content-length");
+        long length = stated == null ? -1 : number(stated, 10, mostBody(), 413);
         if (!requests && (message.status < 200 || message.status == 204 || message.status == 304)) {
             if (message.status < 200) { // An interim response: the real one follows.
                 finish();
@@ -226,27 +243,13 @@
         return part == Part.HEADERS;
     }
 
-    private long length() throws BadMessage {
-        long length = -1;
-        for (int i = 0; i < message.names.size(); i++) {
-            if (message.names.get(i).equals("content-length")) {
-                long next = number(message.values.get(i), 10, mostBody(), 413);
-                if (length >= 0 && next != length) {
-                    throw new BadMessage(400, "two lengths");
-                }
-                length = next;
-            }
-        }
-        return length;
-    }
-
     private int mostBody() {
         return stream == null ? MOST_BODY : MOST_STREAM_PIECE;
     }
 
     private void chunkSize(String text) throws BadMessage {
         int end = text.indexOf(';');
-        left = number((end < 0 ? text : text.substring(0, end)).strip(), 16, mostBody(), 413);
+        left = number(end < 0 ? text : text.substring(0, end), 16, mostBody(), 413);
         part = left == 0 ? Part.TRAILERS : Part.CHUNK;
         headLength = left == 0 ? headLength : 0;
     }
--- a/src/main/java/postgrade/http/MessageWriter.java
+++ b/src/main/java/postgrade/http/MessageWriter.java
@@ -9,7 +9,7 @@
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(100, "Continue"), Map.entry(200, "OK"),
             Map.entry(204, "No Content"), Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"),
             Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
-            Map.entry(413, "Content Too Large"), Map.entry(429, "Too Many Requests"),
+            Map.entry(411, "Length Required"), Map.entry(413, "Content Too Large"), Map.entry(429, "Too Many Requests"),
             Map.entry(431, "Request Header Fields Too Large"), Map.entry(502, "Bad Gateway"),
             Map.entry(503, "Service Unavailable"), Map.entry(504, "Gateway Timeout"));
 
--- a/src/main/java/postgrade/http/Reactor.java
+++ b/src/main/java/postgrade/http/Reactor.java
@@ -17,14 +17,17 @@
 
     /** Whose channel is ready. */
     interface Handler {
+        /** The order in which the ready channels of a turn are served. */
+        enum Order { FIRST, USUAL, LAST }
+
         void ready(SelectionKey key) throws IOException;
 
         /** The handler threw; it closes its channel and tells its owner. */
         void failed(Exception e);
 
-        /** Goes before the other ready channels of a turn. */
-        default boolean urgent() {
-            return false;
+        /** When in a turn it is served. */
+        default Order order() {
+            return Order.USUAL;
         }
     }
 }
--- a/src/main/java/postgrade/http/SocketBudget.java
+++ b/src/main/java/postgrade/http/SocketBudget.java
@@ -5,34 +5,45 @@
 
 /**
  * One budget for the sockets of all peers. Guards against running out of descriptors, which would fail accepts and
- * connects alike: when it is used up, the connection that has been idle longest is closed for a new one.
+ * connects alike: when it is used up, an idle connection is closed for a new one.
+ *
+ * <p>Which one follows the segmented LRU scheme: connections are on probation until they have proved useful, and the
+ * one of them that has been idle longest goes first. Guards the connections that usual peers keep against hundreds
+ * of others that come and say nothing, or ask once and stay.
  */
 public final class SocketBudget {
 
     /** Accepted connections take this part at most, or busy consumers could leave none to reach a provider. */
     private static final double MOST_ACCEPTED = 0.75;
+    /** Places that only discovery may take: without it every decision ages. */
+    private static final int FOR_DISCOVERY = 2;
 
     private final int most;
     private int open;
+    private final LinkedHashSet<Connection> onProbation = new LinkedHashSet<>();
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
 
     public SocketBudget(int most) {
         this.most = most;
     }
 
-    /** Takes a place for a connection to accept, if need be by closing an idle one. False if too many are busy. */
-    public boolean takeToAccept() {
-        return take((int) (most * MOST_ACCEPTED));
+    /**
+     * Takes a place for a connection to accept, if need be by closing an idle one. False if none is to be had.
+     *
+     * @param anyIdle also one that is past its probation may be closed
+     */
+    public boolean takeToAccept(boolean anyIdle) {
+        return take((int) (most * MOST_ACCEPTED), anyIdle);
     }
 
     /** Takes a place for a connection of ours. */
-    public boolean takeToConnect() {
-        return take(most);
+    boolean takeToConnect(boolean toDiscovery) {
+        return take(toDiscovery ? most : most - FOR_DISCOVERY, true);
     }
 
-    private boolean take(int limit) {
+    private boolean take(int limit, boolean anyIdle) {
         if (open >= limit) {
-            Iterator<Connection> oldest = idle.iterator();
+            Iterator<Connection> oldest = (onProbation.isEmpty() && anyIdle ? idle : onProbation).iterator();
             if (!oldest.hasNext()) {
                 return false;
             }
@@ -46,15 +57,17 @@
         open--;
     }
 
-    void idle(Connection c, boolean isIdle) {
-        if (isIdle) {
-            idle.add(c); // One that is idle already keeps its place.
+    void idle(Connection c, boolean isIdle, boolean isOnProbation) {
+        // One that is idle already keeps its place.
+        if (isIdle && isOnProbation) {
+            idle.remove(c);
+            onProbation.add(c);
+        } else if (isIdle) {
+            onProbation.remove(c);
+            idle.add(c);
         } else {
+            onProbation.remove(c);
             idle.remove(c);
         }
     }
-
-    public int open() {
-        return open;
-    }
 }
--- a/src/main/java/postgrade/provider/Link.java
+++ b/src/main/java/postgrade/provider/Link.java
@@ -26,7 +26,7 @@
     void carry(Request r) {
         request = r;
         r.link = this;
-        connection.idle(false);
+        connection.idle(false, false);
         r.writeTo(connection);
     }
 
--- a/src/main/java/postgrade/provider/Pool.java
+++ b/src/main/java/postgrade/provider/Pool.java
@@ -64,7 +64,7 @@
         if (waiting.isEmpty()) {
             link.freeMicros = timers.nowMicros();
             idle.add(link);
-            link.connection.idle(true);
+            link.connection.idle(true, false);
             // Guards against the provider's own closing of idle connections: what is written then is reset.
             link.timer = timers.at(timers.nowMicros() + keepAlive.limitMicros(timers.nowMicros()), link::fail);
         } else {
--- a/src/main/java/postgrade/provider/ProviderPools.java
+++ b/src/main/java/postgrade/provider/ProviderPools.java
@@ -143,7 +143,22 @@
             switch (response.status()) {
                 case 202 -> accepted = true; // Its end comes by a call-back.
                 case 503, 504 -> end(neverRan ? Outcome.FULL : Outcome.ERROR);
-                default -> end(Outcome.ERROR);
+                default -> {
+                    int status = response.status();
+                    if (status / 100 == 4 && status != 408 && status != 429) {
+                        unusable();
+                    } else {
+                        end(Outcome.ERROR);
+                    }
+                }
+            }
+        }
+
+        private void unusable() {
+            if (!ended) {
+                ended = true;
+                pool.users--;
+                gateway.unusable(call);
             }
         }
 
--- a/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/src/test/java/postgrade/daemon/StoriesTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -247,6 +248,34 @@
         assertEquals(200, ready());
     }
 
+    @Test
+    public void whatAProviderCannotUseIsFailedAtOnceAndTriedNowhereElse() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        Socket consumer = post("b1", "price", "15000m");
+        one.next("POST").reply("400 Bad Request", "");
+        assertEquals(502, Peer.read(consumer).status());
+        script.hears("job b1");
+        script.hears("finished b1 0 CANCELLED true");
+    }
+
+    @Test
+    public void whoRepeatsWhatWasTurnedAwayIsReadFromAgainAtTheNextSweepOnly() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket s = post("m1", "no class", "1m");
+        assertEquals(400, Peer.read(s).status());
+        long start = System.nanoTime();
+        for (int i = 0; i < 4; i++) {
+            post(s, "m1", "no class", "1m");
+            assertEquals(400, Peer.read(s).status());
+        }
+        assertTrue("4 sweeps, the first under way", System.nanoTime() - start > 3 * 40_000_000L);
+        post(s, "m2", "price", "15000m");
+        one.next("POST").accept();
+        callBack("m2", "w1", "done");
+        assertEquals(200, Peer.read(s).status());
+    }
+
     // ---- Never two calls out.
 
     @Test
@@ -424,6 +453,14 @@
             {post + "Content-Length: 70000\r\n\r\n", "413"}, {post + "Content-Length: -1\r\n\r\n", "400"},
             {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
             {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+            {post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", "400"}, {post + "Content-Length: +3\r\n\r\n", "400"},
+            {post + "Content-Length: 99999999999999999999\r\n\r\n", "413"}, {post + "Content-Length: \r\n\r\n", "400"},
+            {post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", "400"},
+            {"POST /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+            {post + "Transfer-Encoding: chunked\r\n\r\n 3\r\n", "400"},
+            {post + "Transfer-Encoding: chunked\r\n\r\n-1\r\n", "400"},
+            {post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", "400"},
+            {post + "X-Request-Id: n1\r\nX-Class: price\r\nContent-Length: 3\r\n\r\njob and more", "400"},
             {post + "X: " + "x".repeat(20_000) + "\r\n\r\n", "431"}, {post + "a: b\r\n".repeat(70) + "\r\n", "431"}};
         for (String[] story : stories) {
             Arrived answer = exchange(story[0]);
@@ -433,10 +470,97 @@
         assertEquals(400, Peer.read(post("", "price", "1m")).status());
         assertEquals(400, Peer.read(post("a/../b c", "price", "1m")).status());
         assertEquals(400, Peer.read(post("i1", "no class", "1m")).status());
-        assertEquals(400, Peer.read(post("i1", "price", "soon")).status());
+        for (String deadline : List.of("soon", "-1m", "0m", "NaNm", "1e3m", "5dm", "m", "99999999999m", "9".repeat(400) + "m")) {
+            assertEquals(deadline, 400, Peer.read(post("i1", "price", deadline)).status());
+        }
+        assertEquals(411, exchange(post + "X-Request-Id: i1\r\nX-Class: price\r\n\r\n").status());
+        assertEquals("repeated", 400, Peer.read(post("i1\r\nX-Request-Id: i2", "price", "15000m")).status());
+        assertEquals("no slots", 400, Peer.read(post("i1\r\nX-Extras: slots=-4", "price", "15000m")).status());
         assertEquals(404, exchange("GET /other HTTP/1.1\r\n\r\n").status());
         assertEquals(405, exchange("GET /api HTTP/1.1\r\n\r\n").status());
         assertEquals(200, ready());
+        assertTrue("nothing of it went further", one.nothingArrived());
+    }
+
+    @Test
+    public void whoSaysNothingOrNeverEndsIsTurnedAwayWithin3sOfConnectingAndKeptConnectionsStay() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket kept = post("o1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("o1", "w1", "done");
+        Peer.read(kept);
+        long start = System.nanoTime();
+        Socket silent = connect();
+        Socket half = connect();
+        Peer.write(half, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+        Socket trickles = connect();
+        trickles.setSoTimeout(100);
+        while (true) {
+            Peer.write(trickles, "x");
+            try {
+                assertEquals(408, Peer.read(trickles).status());
+                break;
+            } catch (SocketTimeoutException e) {
+                assertTrue("still open", System.nanoTime() - start < 10_000_000_000L);
+            }
+        }
+        assertEquals(408, Peer.read(half).status());
+        assertEquals(-1, half.getInputStream().read());
+        assertEquals(-1, silent.getInputStream().read());
+        post(kept, "o2", "price", "15000m");
+        one.next("POST").accept();
+        callBack("o2", "w1", "done");
+        assertEquals(200, Peer.read(kept).status());
+    }
+
+    @Test
+    public void anErrorOverBytesThatNobodyReadsIsNotLost() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket s = connect();
+        Peer.write(s, "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + "x".repeat(4 << 20));
+        assertEquals(413, Peer.read(s).status());
+        assertEquals("ended, not reset", -1, s.getInputStream().read());
+    }
+
+    @Test
+    public void anIdOpenElsewhereAndBytesBeyondARequestDisturbNobodyElse() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket owner = post("ab", "price", "15000m");
+        one.next("POST").accept();
+        Socket thief = post("ab", "price", "15000m");
+        assertEquals(409, Peer.read(thief).status());
+        thief.close();
+        Socket longer = post("ac", "price", "15000m");
+        one.next("POST").accept();
+        Peer.write(longer, "and more than its length");
+        assertEquals(400, Peer.read(longer).status());
+        one.next("DELETE /jobs/ac ").reply("200 OK", "");
+        callBack("ab", "w1", "done");
+        assertEquals("made by w1", Peer.read(owner).body());
+    }
+
+    @Test
+    public void hundredsThatSayNothingOrAskOnceAndStayCostNoUsualConnection() throws Exception {
+        descriptors = 128; // 64 for sockets, 48 of them for accepted ones.
+        serve(server("w1", one.address(), "ready"));
+        Socket usual = post("u0", "price", "15000m");
+        for (int i = 0; i < 4; i++) {
+            one.next("POST").accept();
+            callBack("u" + i, "w1", "done");
+            assertEquals(200, Peer.read(usual).status());
+            for (int j = 0; j < 60; j++) {
+                Socket bad = connect();
+                if (j % 2 == 0) {
+                    Peer.write(bad, "GET /-/ready HTTP/1.1\r\n\r\n");
+                }
+            }
+            post(usual, "u" + (i + 1), "price", "15000m");
+        }
+        one.next("POST").accept();
+        Socket fresh = post("n0", "price", "15000m");
+        one.next("POST").accept();
+        callBack("n0", "w1", "done");
+        assertEquals(200, Peer.read(fresh).status());
     }
 
     @Test
