Weigh fewest jobs by each worker's own pace and count the job itself

With most workers holding none of our jobs nearly all tie; pace was learnt by kind only, and without weights it cancelled out of the size. At fault: Decide.pick (own / size ties at 0) and slots (pace counted twice).

Now own + 1 is divided by a size that has the worker's own pace; one choice in ten keeps the random tie.

--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -43,6 +43,11 @@
     /** How fast usual figures are learnt, and the most that one job tells of a pace. */
     private static final double LEARN = 0.05;
     private static final double MOST_PACE = 5;
+    /** So many choices leave the job itself out: a worker that was slow or seems so is tried again. */
+    private static final double EXPLORE = 0.1;
+    /** A worker's own pace counts against its kind's as so many jobs; of its own the latest so many count. */
+    private static final double PACE_PRIOR = 4;
+    private static final double MOST_PACED = 20;
     /** Slots of a worker of mean size where none has shown any. */
     private static final double UNKNOWN_SLOTS = 5;
     /** Part of a cold worker's budget that is used, as jobs differ in length. */
@@ -264,6 +269,7 @@
     private Node pick(long nowNs, Held h, boolean needsRoom) {
         boolean byKey = needsRoom && h.job.key() != null;
         long keyHash = byKey ? State.mix(h.job.key().hashCode()) : 0;
+        double added = random.nextDouble() < EXPLORE ? 0 : 1;
         Node fewest = null;
         double least = Double.MAX_VALUE;
         double ties = 0;
@@ -271,10 +277,10 @@
             if (!able(nowNs, h, n) || needsRoom && !fits(nowNs, h, n)) {
                 continue;
             }
-            double size = slots(n) * warmth(nowNs, n) / n.kind.pace;
+            double size = slots(n) * warmth(nowNs, n) / pace(n);
             // A full answer comes at once and leaves none of our jobs there: fewest alone would feed it more.
             double full = slots(n) * (1 - Math.min(1, (nowNs - n.fullNs) / dearestNs));
-            double load = byKey ? rank(keyHash, n) : Math.max(n.own, full) / size;
+            double load = byKey ? rank(keyHash, n) : (Math.max(n.own, full) + added) / size;
             // What few gateways may send must come from these few.
             double chance = warmth(nowNs, n) < 1 ? size * set.gateways / coldSenders(nowNs, n) : size;
             ties = load < least ? chance : load == least ? ties + chance : ties;
@@ -317,7 +323,12 @@
     /** As reports have shown; without any, by the size that the list announces, which counts speed too. */
     private double slots(Node n) {
         double part = n.info.weight() > 0 ? n.info.weight() / meanWeight : 1;
-        return n.kind.slots > 0 ? n.kind.slots : UNKNOWN_SLOTS * part * n.kind.pace;
+        return n.kind.slots > 0 ? n.kind.slots : UNKNOWN_SLOTS * part;
+    }
+
+    /** How long jobs run there, relative to the mean: as its kind's do, until enough are known. */
+    private static double pace(Node n) {
+        return (n.kind.pace * PACE_PRIOR + n.pace * n.paced) / (PACE_PRIOR + n.paced);
     }
 
     /** The part of its work that a worker can do for sure, by the time since its start. */
@@ -560,8 +571,10 @@
         double ran = nowNs - (a.startedNs >= 0 ? a.startedNs : a.sentNs);
         cls.meanNs += Math.max(LEARN, 1.0 / (++cls.served + 1)) * (ran - cls.meanNs);
         dearestNs = classes.values().stream().mapToDouble(c -> c.meanNs).max().orElse(0);
-        double pace = Math.min(MOST_PACE, ran / Math.max(1, cls.meanNs));
+        double pace = Math.max(1 / MOST_PACE, Math.min(MOST_PACE, ran / Math.max(1, cls.meanNs)));
         a.node.kind.pace += Math.max(LEARN, 1.0 / (++a.node.kind.served + 1)) * (pace - a.node.kind.pace);
+        a.node.paced = Math.min(MOST_PACED, a.node.paced + 1);
+        a.node.pace += (pace - a.node.pace) / a.node.paced;
         slotTimeServed.add(nowNs, ran / SECOND * a.held.job.slots());
     }
 
--- a/src/test/java/postgrade/DecideTest.java
+++ b/src/test/java/postgrade/DecideTest.java
@@ -789,6 +789,26 @@
         assertEquals(Set.of("b1", "s2"), chosen);
     }
 
+    /** Workers of one kind differed by a factor of four, and each got as many jobs as the next. */
+    @Test
+    void fastWorkerOfAKindGetsMoreJobsThanASlowOne() {
+        Decide d = start(settings().build(), "s1", "s2");
+        long nowNs = 0;
+        for (int i = 0; i < 60; i++) {
+            nowNs += 3 * SECOND;
+            String id = job(d, nowNs, "safe");
+            long ran = out.sentTo(id).equals("s1") ? SECOND : SECOND / 4;
+            d.finished(nowNs + ran, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        nowNs += 10 * SECOND;
+        long before = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s2")).count();
+        for (int i = 0; i < 10; i++) {
+            job(d, nowNs, "safe");
+        }
+        long fast = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s2")).count() - before;
+        assertTrue(fast >= 6 && fast < 10, "to the fast one: " + fast);
+    }
+
     @Test
     void absurdReportsDoNotDrawWork() {
         for (Load absurd : List.of(new Load(-5, 0, 0, 0), new Load(1e12, 0, 0, 0), Load.NONE,
