Let the waits seen at a worker weigh in its choice, and learn what other gateways hold

Checked: start notices come for all jobs, and say what the count of our own jobs cannot, that others fill a queue. Refused at room: usualRoom takes every other gateway to hold as much as we do. At fault: Decide.pick, which knew our own jobs only, and usualRoom.

Now what the latest job waited for at a worker counts like jobs of ours and fades over 2 s; workers where a job would be later than 0.8 of its aim come last; others are taken for less while under a quarter of our jobs wait.

--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -37,6 +37,12 @@
     /** A report fades over this time to what reports usually say; it shows our own jobs with this lag. */
     private static final double REPORT_FADE_NS = 4 * SECOND;
     private static final double REPORT_LAG_NS = 0.5 * SECOND;
+    /**
+     * What the other gateways hold is taken for less while fewer than this part of our jobs have to wait: they may be
+     * restarting, or their halls quiet.
+     */
+    private static final double USUAL_WAITS = 0.25;
+    private static final double LEARN_OTHERS = 0.01;
     /** A worker not heard of for this long is probed first, with some others; the most for one job. */
     private static final double PROBE_AGE_NS = 2 * SECOND;
     private static final int PROBES = 3;
@@ -45,6 +51,10 @@
     private static final double MOST_PACE = 5;
     /** So many choices leave the job itself out: a worker that was slow or seems so is tried again. */
     private static final double EXPLORE = 0.1;
+    /** A wait seen at a worker fades so fast; who would come later than this part of the aim is chosen last. */
+    private static final double WAIT_FADE_NS = 2 * SECOND;
+    private static final double MARGIN = 0.8;
+    private static final double LATE = 1e9;
     /** A worker's own pace counts against its kind's as so many jobs; of its own the latest so many count. */
     private static final double PACE_PRIOR = 4;
     private static final double MOST_PACED = 20;
@@ -93,6 +103,7 @@
     private boolean reported;
     private final Fading slotTimeServed = new Fading();
     private double usualRoom = 1;
+    private double others = 1;
     private double retryBudget = RETRY_MOST;
     private double allFailures;
     private boolean sweeping;
@@ -181,8 +192,9 @@
             free += n.ejectedUntilNs > nowNs ? 0 : Math.max(0, room(nowNs, n, usualRoom));
         }
         if (!reported && fleet > 0) {
-            // No report tells of the other gateways' jobs: they hold an even share each, as we do.
-            usualRoom = Math.max(0, 1 - (set.gateways - 1) * slotTimeServed.perSecond(nowNs) / fleet);
+            // No report tells of the other gateways' jobs: they hold an even share each, as we do, or less.
+            double theirs = others * (set.gateways - 1) * slotTimeServed.perSecond(nowNs);
+            usualRoom = Math.max(0, 1 - theirs / fleet);
         }
         return free >= fleet * reserve;
     }
@@ -262,14 +274,15 @@
     }
 
     /**
-     * The able worker with fewest of our jobs for its size; of equal ones, one at random. A job with a key
+     * The able worker with fewest of our jobs for its size, this one and what it would wait for included; now
+     * and then, and of equal ones, one at random. A job with a key
      * goes to the first worker with room in the key's own order: one that lacks the key's data must fetch it
      * first, which no count of jobs shows.
      */
     private Node pick(long nowNs, Held h, boolean needsRoom) {
         boolean byKey = needsRoom && h.job.key() != null;
         long keyHash = byKey ? State.mix(h.job.key().hashCode()) : 0;
-        double added = random.nextDouble() < EXPLORE ? 0 : 1;
+        boolean explores = random.nextDouble() < EXPLORE;
         Node fewest = null;
         double least = Double.MAX_VALUE;
         double ties = 0;
@@ -280,7 +293,10 @@
             double size = slots(n) * warmth(nowNs, n) / pace(n);
             // A full answer comes at once and leaves none of our jobs there: fewest alone would feed it more.
             double full = slots(n) * (1 - Math.min(1, (nowNs - n.fullNs) / dearestNs));
-            double load = byKey ? rank(keyHash, n) : (Math.max(n.own, full) + added) / size;
+            double load = byKey ? rank(keyHash, n) : Math.max(n.own, full) / size;
+            if (!byKey && !explores) {
+                load += (1 + waitNs(nowNs, n) / h.cls.meanNs) / size + (tooLate(nowNs, h, n) ? LATE : 0);
+            }
             // What few gateways may send must come from these few.
             double chance = warmth(nowNs, n) < 1 ? size * set.gateways / coldSenders(nowNs, n) : size;
             ties = load < least ? chance : load == least ? ties + chance : ties;
@@ -292,6 +308,22 @@
         return fewest;
     }
 
+    /** An idle worker that is slow, or one whose queue is long, may be the fewest and yet of no use to the job. */
+    private boolean tooLate(long nowNs, Held h, Node n) {
+        double aimNs = h.cls.is.aimNs() + h.cls.is.aimStretch() * h.cls.meanNs;
+        return nowNs - h.arrivedNs + waitNs(nowNs, n) + h.cls.meanNs * pace(n) > MARGIN * aimNs;
+    }
+
+    /** How long a job would wait there before it starts, by what the latest ones did; old news fades. */
+    private static double waitNs(long nowNs, Node n) {
+        return n.waitedNs * Math.exp((n.waitedAtNs - nowNs) / WAIT_FADE_NS);
+    }
+
+    private static void waited(long nowNs, Node n, double ns) {
+        n.waitedNs = ns;
+        n.waitedAtNs = nowNs;
+    }
+
     /** Rendezvous hashing by size: every gateway ranks the workers alike for a key; the lowest is first. */
     private double rank(long keyHash, Node n) {
         double unit = ((State.mix(keyHash ^ n.hash) >>> 11) + 0.5) * 0x1p-53;
@@ -447,6 +479,9 @@
         Attempt a = Held.running(jobs.get(jobId), attempt);
         if (a != null && a.startedNs < 0) {
             a.start(nowNs);
+            waited(nowNs, a.node, nowNs - a.sentNs);
+            double waits = nowNs - a.sentNs > ANSWER_NS ? 1 : 0;
+            others = Math.max(0, Math.min(1, others + LEARN_OTHERS * (waits / USUAL_WAITS - 1)));
         }
     }
 
@@ -630,6 +665,9 @@
             return;
         }
         double moveCost = 1 + MOVE_COST / set.gateways;
+        if (!a.lost) {
+            waited(nowNs, a.node, Math.max(waitNs(nowNs, a.node), nowNs - a.sentNs));
+        }
         boolean movable = !a.called && set.mayCancel && h.cls.is.effect() != Effect.UNSAFE;
         if (movable && nowNs - a.sentNs >= Math.max(ANSWER_NS, h.cls.is.aimNs() / 2)
                 && retryBudget >= moveCost && pick(nowNs, h, true) != null) {
@@ -637,6 +675,7 @@
             callOff(h, h.sent - 1);
         } else if (!a.lost && nowNs - a.sentNs > LOST_AFTER * dearestNs) {
             h.lose(a);
+            waited(nowNs, a.node, 0); // It stands in no queue.
             fail(nowNs, a.node, 1);
         }
     }
--- a/src/main/java/postgrade/State.java
+++ b/src/main/java/postgrade/State.java
@@ -49,6 +49,8 @@
         long roomAtNs;
         long fullNs = Long.MIN_VALUE / 2;
         double failures;
+        double waitedNs;
+        long waitedAtNs;
         double pace = 1;
         double paced;
         int ejections;
--- a/src/test/java/postgrade/DecideTest.java
+++ b/src/test/java/postgrade/DecideTest.java
@@ -789,6 +789,48 @@
         assertEquals(Set.of("b1", "s2"), chosen);
     }
 
+    /** Queues that other gateways filled: what waited there is the one sign of them. */
+    @Test
+    void workerWhereJobsWaitToStartIsLeftAloneForAWhile() {
+        Decide d = start(settings().tellsStart(true).build(), "s1", "s2");
+        String first = job(d, 0, "safe");
+        d.started(MS, job(d, 0, "safe"), 0);
+        d.started(600 * MS, first, 0);
+        for (int i = 0; i < 2; i++) {
+            d.finished(700 * MS, "j" + i, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        for (int i = 0; i < 40; i++) {
+            long nowNs = 700 * MS + i * 10 * MS;
+            String id = job(d, nowNs, "safe");
+            d.started(nowNs + MS, id, 0);
+            d.finished(nowNs + 2 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        String slow = out.sentTo(first);
+        long there = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(slow)).count();
+        assertTrue(there < 25, "sent to the one where jobs wait: " + there);
+    }
+
+    /** One gateway bore all traffic while the other restarted, and refused as if that held as much again. */
+    @Test
+    void whereNoJobWaitsOtherGatewaysAreTakenToHoldLess() {
+        Decide d = start(settings().tellsStart(true).gateways(2).tenants(List.of(new Tenant("t", 1))).build(),
+                "s1", "s2");
+        long nowNs = 0;
+        for (int i = 0; i < 400; i++) {
+            nowNs += 100 * MS;
+            String id = job(d, nowNs, "safe");
+            d.started(nowNs + MS, id, 0);
+            d.finished(nowNs + 900 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        long before = out.count("refuse");
+        for (int i = 0; i < 12; i++) {
+            String id = job(d, nowNs + 950 * MS, "safe", "t", null);
+            d.started(nowNs + 951 * MS, id, 0);
+            d.finished(nowNs + 951 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        assertEquals(before, out.count("refuse"), "beyond its share, and there is room");
+    }
+
     /** Workers of one kind differed by a factor of four, and each got as many jobs as the next. */
     @Test
     void fastWorkerOfAKindGetsMoreJobsThanASlowOne() {
