Keep jobs that may not be repeated away from workers with a recent failure

Checked: ejection takes three failures in a row by each gateway, and every failure of such a job is final. At fault: Decide.pick, where the failure average counts only once it ejects.

Now an average above 0.1 puts a worker last for them, outside the random tenth.

--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -55,6 +55,8 @@
     private static final double WAIT_FADE_NS = 2 * SECOND;
     private static final double MARGIN = 0.8;
     private static final double LATE = 1e9;
+    /** A failure average above this puts a worker last for jobs that may not be repeated. */
+    private static final double SUSPECT = 0.1;
     /** A worker's own pace counts against its kind's as so many jobs; of its own the latest so many count. */
     private static final double PACE_PRIOR = 4;
     private static final double MOST_PACED = 20;
@@ -282,6 +284,7 @@
     private Node pick(long nowNs, Held h, boolean needsRoom) {
         boolean byKey = needsRoom && h.job.key() != null;
         long keyHash = byKey ? State.mix(h.job.key().hashCode()) : 0;
+        boolean once = h.cls.is.effect() == Effect.UNSAFE;
         boolean explores = random.nextDouble() < EXPLORE;
         Node fewest = null;
         double least = Double.MAX_VALUE;
@@ -296,6 +299,7 @@
             double load = byKey ? rank(keyHash, n) : Math.max(n.own, full) / size;
             if (!byKey && !explores) {
                 load += (1 + waitNs(nowNs, n) / h.cls.meanNs) / size + (tooLate(nowNs, h, n) ? LATE : 0);
+                load += once && n.failures > SUSPECT ? LATE : 0;
             }
             // What few gateways may send must come from these few.
             double chance = warmth(nowNs, n) < 1 ? size * set.gateways / coldSenders(nowNs, n) : size;
--- a/src/test/java/postgrade/DecideTest.java
+++ b/src/test/java/postgrade/DecideTest.java
@@ -789,6 +789,21 @@
         assertEquals(Set.of("b1", "s2"), chosen);
     }
 
+    /** Fast failures: each costs a job that may not be repeated, long before the worker is ejected. */
+    @Test
+    void oneFailureKeepsJobsThatMayNotBeRepeatedAway() {
+        Decide d = start(settings().build(), "s1", "s2");
+        String failed = job(d, 0, "safe");
+        d.finished(MS, failed, 0, Outcome.ERROR, true, Load.NONE);
+        long there = 0;
+        for (int i = 0; i < 20; i++) {
+            String id = job(d, (2 + i) * MS, "unsafe");
+            there += out.sentTo(id).equals(out.sentTo(failed)) ? 1 : 0;
+            d.finished((2 + i) * MS, id, 0, Outcome.NOT_SENT, true, Load.NONE);
+        }
+        assertTrue(there <= 3, "sent there nevertheless: " + there);
+    }
+
     /** Queues that other gateways filled: what waited there is the one sign of them. */
     @Test
     void workerWhereJobsWaitToStartIsLeftAloneForAWhile() {
