--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -38,8 +38,8 @@
     private static final double REPORT_FADE_NS = 4 * SECOND;
     private static final double REPORT_LAG_NS = 0.5 * SECOND;
     /**
-     * What the other gateways hold is taken for less while fewer than this part of our jobs have to wait: they may be
-     * restarting, or their halls quiet.
+     * What the other gateways hold is taken for less while fewer than this part of our jobs have to wait: they
+     * may be restarting, or their halls quiet.
      */
     private static final double USUAL_WAITS = 0.25;
     private static final double LEARN_OTHERS = 0.01;
@@ -51,7 +51,7 @@
     private static final double MOST_PACE = 5;
     /** So many choices leave the job itself out: a worker that was slow or seems so is tried again. */
     private static final double EXPLORE = 0.1;
-    /** A wait seen at a worker fades so fast; who would come later than this part of the aim is chosen last. */
+    /** A wait seen at a worker fades so fast; one where a job is later than this part of its aim is last. */
     private static final double WAIT_FADE_NS = 2 * SECOND;
     private static final double MARGIN = 0.8;
     private static final double LATE = 1e9;
@@ -277,9 +277,8 @@
 
     /**
      * The able worker with fewest of our jobs for its size, this one and what it would wait for included; now
-     * and then, and of equal ones, one at random. A job with a key
-     * goes to the first worker with room in the key's own order: one that lacks the key's data must fetch it
-     * first, which no count of jobs shows.
+     * and then, and of equal ones, one at random. A job with a key goes to the first worker with room in the
+     * key's own order: one that lacks the key's data must fetch it first, which no count of jobs shows.
      */
     private Node pick(long nowNs, Held h, boolean needsRoom) {
         boolean byKey = needsRoom && h.job.key() != null;
@@ -312,7 +311,7 @@
         return fewest;
     }
 
-    /** An idle worker that is slow, or one whose queue is long, may be the fewest and yet of no use to the job. */
+    /** An idle worker that is slow, or one whose queue is long, may hold the fewest and yet be of no use. */
     private boolean tooLate(long nowNs, Held h, Node n) {
         double aimNs = h.cls.is.aimNs() + h.cls.is.aimStretch() * h.cls.meanNs;
         return nowNs - h.arrivedNs + waitNs(nowNs, n) + h.cls.meanNs * pace(n) > MARGIN * aimNs;
