--- a/src/main/java/postgrade/Decide.java
+++ b/src/main/java/postgrade/Decide.java
@@ -38,8 +38,8 @@
     private static final double REPORT_FADE_NS = 4 * SECOND;
     private static final double REPORT_LAG_NS = 0.5 * SECOND;
     /**
-     * What the other gateways hold is taken for less while fewer than this part of our jobs have to wait: they
-     * may be restarting, or their halls quiet.
+     * What the other gateways hold is taken for less while fewer than this part of our jobs have to wait:
+     * they may be restarting, or their halls quiet.
      */
     private static final double USUAL_WAITS = 0.25;
     private static final double LEARN_OTHERS = 0.01;
--- a/src/main/java/postgrade/http/MessageParser.java
+++ b/src/main/java/postgrade/http/MessageParser.java
@@ -59,8 +59,8 @@
         try {
             MessageParser parser = ofRequests();
             parser.parse(bytes.duplicate());
-            return parser.part != Part.START_LINE
-                    || BEGINNING.matcher(new String(parser.line, 0, parser.lineLength, StandardCharsets.ISO_8859_1)).matches();
+            String line = new String(parser.line, 0, parser.lineLength, StandardCharsets.ISO_8859_1);
+            return parser.part != Part.START_LINE || BEGINNING.matcher(line).matches();
         } catch (BadMessage e) {
             return false;
         }
