--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/src/main/java/postgrade/daemon/Daemon.java
@@ -64,8 +64,8 @@
             list(ListForm.STORED, config.known);
         }
         Set<String> tenants = config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
-        listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0, gateway,
-                loop, loop);
+        listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0,
+                gateway, loop, loop);
         long version = config.known == null ? 0 : config.known.version();
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
                 list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
