Turn the build into a reactor, with structured logs and a class-data archive

The project is to grow by whole subsystems, and had one flat module, java.util.logging and no command line.

The build is now a reactor (core, log, daemon, cli). core uses the JDK alone and does no input or output; ArchUnit tests hold that wall and those between the daemon's sides. The build line makes a class-data archive from a rehearsal of one job; where it cannot be made or used, starts work as before.

--- a/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -7,8 +7,6 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.Job;
@@ -27,7 +25,6 @@
  */
 public final class Gateway {
 
-    private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
     private static final long NANOS = 1_000;
     /** The module answers by the deadline; what it has not answered so long after is failed here. */
     private static final long OVERDUE_MICROS = 20_000;
@@ -35,6 +32,7 @@
     private static final long FULL_RETRY_MICROS = 500_000;
 
     private final Timers timers;
+    private final Faults faults;
     private final Dispatcher module;
     private final int mostHeld;
     private final boolean mayDuplicate;
@@ -50,9 +48,12 @@
      * @param module makes the decision module, given where its actions go
      * @param mayDuplicate two calls of one invocation may be out at once
      * @param mostHeld the most invocations held at once; further ones are rejected at once
+     * @param faults hears of what went wrong in the module
      */
-    public Gateway(Function<Actions, Dispatcher> module, boolean mayDuplicate, int mostHeld, Timers timers) {
+    public Gateway(Function<Actions, Dispatcher> module, boolean mayDuplicate, int mostHeld, Timers timers,
+            Faults faults) {
         this.timers = timers;
+        this.faults = faults;
         this.mostHeld = mostHeld;
         this.mayDuplicate = mayDuplicate;
         this.module = module.apply(new Buffered());
@@ -85,7 +86,7 @@
                         in.deadlineMicros * NANOS - now, in.slots, in.memory));
             } catch (RuntimeException e) {
                 // Guards the one answer: an invocation that the module stumbles over is still owed it.
-                LOG.log(Level.SEVERE, "the module could not take a job of class " + in.jobClass, e);
+                faults.fault(Faults.JOB_NOT_TAKEN, "the module could not take a job of class " + in.jobClass, e);
                 answer(in);
                 in.consumer.fail(false);
             }
@@ -211,7 +212,7 @@
             try {
                 event.accept(nowNs);
             } catch (RuntimeException e) {
-                LOG.log(Level.SEVERE, "the module failed on an event", e);
+                faults.fault(Faults.EVENT_FAILED, "the module failed on an event", e);
             }
         }
     }
@@ -256,7 +257,8 @@
 
     private void overdue(Invocation in) {
         if (!in.answered) {
-            LOG.severe("the module left a job of class " + in.jobClass + " unanswered at its deadline; failed here");
+            faults.fault(Faults.LEFT_UNANSWERED,
+                    "the module left a job of class " + in.jobClass + " unanswered at its deadline; failed here", null);
             answer(in);
             in.consumer.fail(true);
             tell(in, now -> module.abandoned(now, in.id));
@@ -295,7 +297,8 @@
         in.callsOut++;
         if (in.answered || second || until <= now) {
             if (second) {
-                LOG.severe("the module asked for a second call of a job that has one out; not sent");
+                faults.fault(Faults.SECOND_CALL,
+                        "the module asked for a second call of a job that has one out; not sent", null);
             }
             end(call, Outcome.NOT_SENT, null);
             return;
--- a/src/main/java/postgrade/benchlink/SettingsReader.java
+++ b/core/src/main/java/postgrade/settings/SettingsReader.java
@@ -1,13 +1,8 @@
-package postgrade.benchlink;
+package postgrade.settings;
 
-import com.eclipsesource.json.JsonArray;
-import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.JsonValue;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.StringJoiner;
 import postgrade.Dispatcher.Effect;
 import postgrade.Dispatcher.Group;
 import postgrade.Dispatcher.JobClass;
@@ -16,7 +11,7 @@
 
 /**
  * Reads the settings of a deployment, so that the adapter and the daemon give the module the same. They come as the
- * pairs of ATTACH or as nested JSON, which is turned into such pairs first. Unknown ones are left alone.
+ * pairs of ATTACH; who has nested JSON turns it into such pairs first. Unknown ones are left alone.
  */
 public final class SettingsReader {
 
@@ -26,44 +21,11 @@
         this.pairs = pairs;
     }
 
-    static SettingsReader ofPairs(Map<String, String> pairs) {
+    /** @param pairs paths and plain values, in the form of ATTACH */
+    public static SettingsReader ofPairs(Map<String, String> pairs) {
         return new SettingsReader(pairs);
     }
 
-    public static SettingsReader ofJson(JsonObject json) {
-        Map<String, String> pairs = new HashMap<>();
-        flatten("", json, pairs);
-        return new SettingsReader(pairs);
-    }
-
-    /** Objects become paths, lists of objects a count and numbered paths, plain lists comma-joined text. */
-    private static void flatten(String path, JsonValue value, Map<String, String> pairs) {
-        if (value.isObject()) {
-            for (JsonObject.Member m : value.asObject()) {
-                flatten(path.isEmpty() ? m.getName() : path + "." + m.getName(), m.getValue(), pairs);
-            }
-        } else if (value.isArray() && holdsObjects(value.asArray())) {
-            pairs.put(path + ".count", Integer.toString(value.asArray().size()));
-            for (int i = 0; i < value.asArray().size(); i++) {
-                flatten(path + "." + i, value.asArray().get(i), pairs);
-            }
-        } else if (value.isArray()) {
-            StringJoiner joined = new StringJoiner(",");
-            value.asArray().forEach(v -> joined.add(plain(v)));
-            pairs.put(path, joined.toString());
-        } else if (!value.isNull()) {
-            pairs.put(path, plain(value));
-        }
-    }
-
-    private static boolean holdsObjects(JsonArray array) {
-        return !array.isEmpty() && array.get(0).isObject();
-    }
-
-    private static String plain(JsonValue value) {
-        return value.isString() ? value.asString() : value.toString();
-    }
-
     /** The text under this key, or what stands for it where it is absent. */
     public String text(String key, String absent) {
         return pairs.getOrDefault(key, absent);
--- /dev/null
+++ b/core/src/test/java/postgrade/WallsTest.java
@@ -0,0 +1,35 @@
+package postgrade;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.Test;
+
+/** The walls of the core: it decides and remembers, and reaches for nothing outside. */
+public class WallsTest {
+
+    private static final JavaClasses CORE = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("postgrade");
+
+    @Test
+    public void theCoreTouchesNoSocketsFilesThreadsOrLogs() {
+        noClasses().should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
+                "java.util.logging..", "java.util.concurrent..", "org.slf4j..", "com..").check(CORE);
+        noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(CORE);
+    }
+
+    @Test
+    public void theCoreReadsNoClock() {
+        noClasses().should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").orShould().dependOnClassesThat()
+                .resideInAnyPackage("java.time..").check(CORE);
+    }
+
+    @Test
+    public void theDecisionModuleKnowsNothingOfTheGatewayRoundIt() {
+        noClasses().that().resideInAPackage("postgrade").should().dependOnClassesThat()
+                .resideInAnyPackage("postgrade.gateway..", "postgrade.settings..").check(CORE);
+    }
+}
--- a/src/main/java/postgrade/benchlink/Wire.java
+++ b/daemon/src/main/java/postgrade/benchlink/Wire.java
@@ -16,6 +16,7 @@
 import postgrade.Dispatcher.Phase;
 import postgrade.Dispatcher.Settings;
 import postgrade.Dispatcher.Worker;
+import postgrade.settings.SettingsReader;
 
 /** Turns lines of the wire into events and actions into lines. Decides nothing. */
 final class Wire {
--- a/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -11,17 +11,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.logging.Level;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import postgrade.gateway.Gateway;
 import postgrade.gateway.Timers;
 import postgrade.http.Connection;
 import postgrade.http.Reactor;
+import postgrade.log.Events;
 
 /** The address where consumers and the providers' call-backs connect. */
 public final class Listener implements Reactor.Handler {
 
-    private static final Logger LOG = Logger.getLogger(Listener.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Listener.class);
     private static final int BACKLOG = 1024;
     /** The most bytes of bodies held, in part or whole; well within the heap. */
     private static final long MOST_BYTES = 24 << 20;
@@ -100,7 +101,7 @@
                 connections.add(new ConsumerConnection(this, accepted));
                 kept = true;
             } catch (IOException e) {
-                LOG.log(Level.FINE, "a connection broke while it was accepted", e);
+                LOG.debug("a connection broke while it was accepted", e);
                 accepted.close();
             } finally {
                 if (!kept) {
@@ -124,8 +125,9 @@
         boolean isShort = shortMicros != 0 && nowMicros - shortMicros >= SHORT_MICROS;
         if (isShort != told) {
             told = isShort;
-            LOG.warning(isShort ? "sockets used up by busy connections; accepting no more for now"
-                    : "sockets free again; accepting");
+            Events.warn(LOG, isShort ? "sockets.used-up" : "sockets.free")
+                    .log(isShort ? "sockets used up by busy connections; accepting no more for now"
+                            : "sockets free again; accepting");
         }
     }
 
@@ -188,7 +190,7 @@
     @Override
     public void failed(Exception e) {
         // Guards the loop: an accept may fail for want of descriptors, and the listener must outlive it.
-        LOG.log(Level.WARNING, "accept failed", e);
+        Events.warn(LOG, "accept.failed").setCause(e).log("accept failed");
         pause(true);
     }
 }
--- a/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -14,8 +14,9 @@
 import java.util.Objects;
 import postgrade.Dispatcher.JobClass;
 import postgrade.Dispatcher.Settings;
-import postgrade.benchlink.SettingsReader;
+import postgrade.benchlink.JsonPairs;
 import postgrade.discovery.TargetList;
+import postgrade.settings.SettingsReader;
 
 /** The daemon's configuration. This is the one place where it is read, checked and given defaults. */
 final class Config {
@@ -53,6 +54,7 @@
 
     private final Map<String, String> environment;
     private final JsonObject json;
+    private final Map<String, String> pairs;
 
     private Config(Map<String, String> environment, JsonObject json) throws Faulty {
         this.environment = environment;
@@ -66,7 +68,8 @@
         if (given == null || !given.isObject()) {
             throw new Faulty("settings", "an object is needed");
         }
-        SettingsReader read = SettingsReader.ofJson(given.asObject());
+        pairs = JsonPairs.of(given.asObject());
+        SettingsReader read = SettingsReader.ofPairs(pairs);
         try {
             settings = read.settings();
             mostHeld = (int) positive(read, "limits.mostHeld", DEFAULT_MOST_HELD);
@@ -97,6 +100,53 @@
         }
     }
 
+    /** One setting as it is in force, and where it came from. */
+    record Effective(String key, Object value, String origin) { }
+
+    /** All settings as they are in force, in the order of the operators' page. */
+    List<Effective> effective() {
+        List<Effective> all = new ArrayList<>();
+        all.add(new Effective("name", name, origin("name", "ROUTER_NAME")));
+        all.add(new Effective("listen", text(listen), origin("listen", "ROUTER_LISTEN")));
+        all.add(new Effective("discovery", text(discovery), origin("discovery", "ROUTER_DISCOVERY")));
+        all.add(new Effective("seed", Long.toHexString(seed), json.get("seed") == null ? "the clock" : "file"));
+        all.add(new Effective("limits.sockets", sockets + OWN_DESCRIPTORS, json.get("limits") != null
+                && json.get("limits").asObject().get("sockets") != null ? "file" : "default"));
+        all.add(new Effective("known", known == null ? "none" : known.entries().size() + " workers",
+                known == null ? "default" : "file"));
+        all.add(effective("limits.mostHeld", mostHeld));
+        all.add(effective("limits.connectTimeoutNs", connectTimeoutMicros * 1000));
+        all.add(effective("limits.connIdleNs", idleMicros * 1000));
+        for (int i = 0; i < settings.classes.size(); i++) {
+            JobClass c = settings.classes.get(i);
+            String at = "classes." + i + ".";
+            all.add(effective(at + "name", c.name()));
+            all.add(effective(at + "idempotency", pairs.get(at + "idempotency")));
+            all.add(effective(at + "onTimeNs", c.aimNs()));
+            all.add(effective(at + "deadlineNs", deadlineMicros.get(c.name()) * 1000));
+            all.add(effective(at + "importance", c.worth()));
+        }
+        for (int i = 0; i < settings.tenants.size(); i++) {
+            all.add(effective("tenants." + i + ".name", settings.tenants.get(i).name()));
+            all.add(effective("tenants." + i + ".quotaPerS", settings.tenants.get(i).ratePerS()));
+        }
+        all.add(effective("limits.maxAttempts", settings.maxAttempts));
+        all.add(effective("limits.mayDuplicate", settings.mayDuplicate));
+        return all;
+    }
+
+    private Effective effective(String key, Object value) {
+        return new Effective("settings." + key, value, pairs.containsKey(key) ? "file" : "default");
+    }
+
+    private String origin(String key, String variable) {
+        return json.get(key) != null && json.get(key).isString() ? "file" : variable;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Reads the file again that this was read from. */
     Config readAgain() throws Faulty {
         return read(environment);
--- a/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import postgrade.Decide;
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
@@ -22,13 +22,14 @@
 import postgrade.discovery.Watch;
 import postgrade.gateway.Gateway;
 import postgrade.http.SocketBudget;
+import postgrade.log.Events;
 import postgrade.provider.ProviderPools;
 import postgrade.provider.Target;
 
 /** One dispatcher: puts the parts together, passes the list on, and stops in order. */
 final class Daemon {
 
-    private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
     private static final long NANOS = 1_000;
     /** What comes up to so long after SIGTERM may be left to SIGKILL; what comes later may not. */
     private static final long TAKEN_MICROS = 700_000;
@@ -57,7 +58,8 @@
     Daemon(Config config, Function<Actions, Dispatcher> module, long silentMicros) throws IOException {
         this.config = config;
         loop = new Loop(new SocketBudget(config.sockets));
-        gateway = new Gateway(module, config.settings.mayDuplicate, config.mostHeld, loop);
+        gateway = new Gateway(module, config.settings.mayDuplicate, config.mostHeld, loop,
+                (event, message, thrown) -> Events.error(LOG, event).setCause(thrown).log(message));
         providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
         gateway.connect(providers);
         if (config.known != null) {
@@ -70,8 +72,10 @@
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
                 list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
         thread = new Thread(null, this::run, "loop");
-        LOG.info(config.name + " listens on " + config.listen + ", " + providers.readyCount()
-                + " providers known from before");
+        Events.info(LOG, "daemon.listening").addKeyValue("name", config.name).addKeyValue("address", config.listen)
+                .addKeyValue("providers", providers.readyCount())
+                .log(config.name + " listens on " + config.listen + ", " + providers.readyCount()
+                        + " providers known from before");
     }
 
     int port() throws IOException {
@@ -98,7 +102,7 @@
             });
         } catch (IOException | RuntimeException | Error e) {
             // Guards against a process that lives on without its loop: what restarts us must see it die.
-            LOG.log(Level.SEVERE, "the loop ended", e);
+            Events.error(LOG, "loop.ended").setCause(e).log("the loop ended");
             Runtime.getRuntime().halt(1);
         }
     }
@@ -130,10 +134,12 @@
             try {
                 Config next = config.readAgain();
                 String later = String.join(", ", config.keysForNextStart(next));
-                LOG.info("configuration read again" + (later.isEmpty() ? "" : "; only at the next start: " + later));
+                Events.info(LOG, "configuration.read-again").addKeyValue("later", later).log("configuration read again"
+                        + (later.isEmpty() ? "" : "; only at the next start: " + later));
                 watch.move(next.discovery);
             } catch (Config.Faulty e) {
-                LOG.warning("configuration not taken over, the former one stays: " + e.getMessage());
+                Events.warn(LOG, "configuration.not-taken").addKeyValue("why", e.getMessage())
+                        .log("configuration not taken over, the former one stays: " + e.getMessage());
             }
         });
     }
@@ -141,7 +147,7 @@
     /** Stops in order and returns when all that was taken is answered. May be called from any thread. */
     void stop() {
         loop.ask(() -> {
-            LOG.info("stopping: no longer ready, serving on");
+            Events.info(LOG, "daemon.stopping").log("stopping: no longer ready, serving on");
             stopFromMicros = loop.nowMicros();
             listener.beginStop();
             // Guards the consumers who hold a connection: while it is open they go on using it, and until SIGKILL
@@ -168,8 +174,9 @@
             gateway.concludeSince(stopFromMicros + TAKEN_MICROS);
         }
         if (gateway.idle() && providers.quiet() && listener.quiet()) {
-            LOG.info("stopped after " + (loop.nowMicros() - stopFromMicros) / (MICROS_PER_SECOND / 1000)
-                    + " ms, all answered");
+            long millis = (loop.nowMicros() - stopFromMicros) / (MICROS_PER_SECOND / 1000);
+            Events.info(LOG, "daemon.stopped").addKeyValue("ms", millis)
+                    .log("stopped after " + millis + " ms, all answered");
             loop.stop();
         } else {
             loop.at(loop.nowMicros() + STOP_CHECK_MICROS, this::finish);
--- a/src/main/java/postgrade/daemon/Loop.java
+++ b/daemon/src/main/java/postgrade/daemon/Loop.java
@@ -11,16 +11,17 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.logging.Level;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import postgrade.gateway.Timers;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
+import postgrade.log.Events;
 
 /** The one thread of the daemon: waits for channels and timers, then lets the gateway take its turn. */
 final class Loop implements Reactor, Timers {
 
-    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     private static final int READ_BYTES = 64 << 10;
     /** The clock starts at a day, so that the starts of providers up to a day before ours lie after 0. */
     private static final long ORIGIN_MICROS = 86_400_000_000L;
@@ -115,7 +116,8 @@
             handler.failed(e); // An ordinary break of one connection.
         } catch (RuntimeException e) {
             // Guards the loop: what goes wrong with one connection ends that connection alone.
-            LOG.log(Level.SEVERE, "a connection's handler failed; the connection is closed", e);
+            Events.error(LOG, "connection.handler-failed").setCause(e)
+                    .log("a connection's handler failed; the connection is closed");
             guarded(() -> handler.failed(e));
         }
     }
@@ -124,7 +126,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "a task of the loop failed", e);
+            Events.error(LOG, "loop.task-failed").setCause(e).log("a task of the loop failed");
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/postgrade/daemon/Main.java
@@ -0,0 +1,73 @@
+package postgrade.daemon;
+
+import java.io.IOException;
+import postgrade.log.EventLogs;
+import sun.misc.Signal;
+
+/** The program: {@code serve} is one dispatcher on sockets, {@code benchlink} the simulator's adapter. */
+public final class Main {
+
+    private static final int USAGE = 2;
+    private static final String LOG_FORMAT = "--log-format=";
+
+    private Main() { }
+
+    public static void main(String[] args) throws IOException {
+        String command = args.length == 0 ? "" : args[0];
+        try {
+            EventLogs.use(logFormat(args));
+        } catch (IllegalArgumentException e) {
+            System.err.println("postgrade: " + e.getMessage());
+            System.exit(USAGE);
+        }
+        switch (command) {
+            case "serve" -> serve();
+            case "benchlink" -> System.exit(postgrade.benchlink.Main.serve(System.in, System.out, System.err));
+            case "rehearse" -> rehearse();
+            default -> {
+                System.err.println("usage: java -jar postgrade.jar serve|benchlink [--log-format=text|json]");
+                System.exit(USAGE);
+            }
+        }
+    }
+
+    /** Plays one job through a dispatcher and ends, for the build's class-data archive. */
+    private static void rehearse() throws IOException {
+        try {
+            Rehearsal.run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static EventLogs.Format logFormat(String[] args) {
+        if (args.length < 2) {
+            return EventLogs.Format.TEXT;
+        }
+        if (args.length > 2 || !args[1].startsWith(LOG_FORMAT)) {
+            throw new IllegalArgumentException("not understood: " + args[args.length - 1]);
+        }
+        return EventLogs.formatNamed(args[1].substring(LOG_FORMAT.length()));
+    }
+
+    /** Starts one dispatcher and returns while it serves; ends the process if it cannot start. */
+    public static void serve() {
+        Daemon daemon;
+        try {
+            daemon = new Daemon(Config.read(System.getenv()));
+        } catch (Config.Faulty e) {
+            System.err.println("postgrade: " + e.getMessage());
+            System.exit(USAGE);
+            return;
+        } catch (IOException e) {
+            System.err.println("postgrade: listen: " + e.getMessage());
+            System.exit(1);
+            return;
+        }
+        // Guards against the virtual machine's own way with SIGHUP, which is to end. No library of the JDK's own names
+        // signals but this one; it is part of the exported module jdk.unsupported.
+        Signal.handle(new Signal("HUP"), signal -> daemon.reload());
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        daemon.start();
+    }
+}
--- a/src/main/java/postgrade/discovery/TargetList.java
+++ b/daemon/src/main/java/postgrade/discovery/TargetList.java
@@ -5,12 +5,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import postgrade.log.Events;
 
 /** One object of discovery: the whole list, or the entries that changed since the one before it. */
 public record TargetList(long version, boolean whole, List<Entry> entries, List<String> faulty) {
 
-    private static final Logger LOG = Logger.getLogger(TargetList.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(TargetList.class);
 
     /** How far a provider is in its life. */
     public enum State { READY, DRAINING, GONE }
@@ -59,8 +61,10 @@
 
     public void warnOfFaulty() {
         if (!faulty.isEmpty()) {
-            LOG.warning("list version " + version + ": " + faulty.size()
-                    + " entries not understood and passed over, first: " + faulty.get(0));
+            Events.warn(LOG, "list.entries-not-understood").addKeyValue("version", version)
+                    .addKeyValue("entries", faulty.size()).addKeyValue("first", faulty.get(0))
+                    .log("list version " + version + ": " + faulty.size()
+                            + " entries not understood and passed over, first: " + faulty.get(0));
         }
     }
 
--- a/src/main/java/postgrade/discovery/Watch.java
+++ b/daemon/src/main/java/postgrade/discovery/Watch.java
@@ -6,7 +6,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import postgrade.gateway.Timers;
 import postgrade.http.BadMessage;
 import postgrade.http.Connection;
@@ -14,6 +15,7 @@
 import postgrade.http.MessageParser;
 import postgrade.http.MessageWriter;
 import postgrade.http.Reactor;
+import postgrade.log.Events;
 
 /**
  * Watches the list of providers. A watch that ends, or is silent for longer than its empty lines allow, is opened
@@ -24,7 +26,7 @@
  */
 public final class Watch {
 
-    private static final Logger LOG = Logger.getLogger(Watch.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
     /**
      * An empty line is due every 2 s; discovery that is down keeps silent. Guards the drain rule: what a dead watch
      * keeps from us counts as told after 6 s, and it must be found out and opened again well before.
@@ -81,7 +83,8 @@
         if (to.equals(address)) {
             return;
         }
-        LOG.info("watch of the provider list moves from " + address + " to " + to);
+        Events.info(LOG, "watch.moving").addKeyValue("from", address).addKeyValue("to", to)
+                .log("watch of the provider list moves from " + address + " to " + to);
         if (again != null) {
             again.cancel(); // No session is open.
         } else if (moved) {
@@ -100,8 +103,9 @@
     private void broken(String why) {
         if (!lost) {
             lost = true;
-            LOG.warning("watch of the provider list lost (" + why + "); kept at version " + version
-                    + " and opened again");
+            Events.warn(LOG, "watch.lost").addKeyValue("why", why).addKeyValue("version", version)
+                    .log("watch of the provider list lost (" + why + "); kept at version " + version
+                            + " and opened again");
         }
         session = null;
         again = timers.at(timers.nowMicros() + pauseMicros, () -> {
@@ -115,7 +119,8 @@
         pauseMicros = PAUSE_MICROS;
         if (lost) {
             lost = false;
-            LOG.info("watch of the provider list is back at version " + version);
+            Events.info(LOG, "watch.back").addKeyValue("version", version)
+                    .log("watch of the provider list is back at version " + version);
         }
     }
 
@@ -126,7 +131,8 @@
         heard();
         moved = false;
         version = list.version();
-        LOG.info("watch of the provider list has moved to " + address + " at version " + version);
+        Events.info(LOG, "watch.moved").addKeyValue("to", address).addKeyValue("version", version)
+                .log("watch of the provider list has moved to " + address + " at version " + version);
         if (former != null) {
             former.drop();
             former = null;
--- a/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -5,7 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import postgrade.Dispatcher.Outcome;
 import postgrade.gateway.Gateway;
 import postgrade.gateway.InvokerCall;
@@ -15,11 +16,12 @@
 import postgrade.http.Message;
 import postgrade.http.MessageWriter;
 import postgrade.http.Reactor;
+import postgrade.log.Events;
 
 /** Speaks to the providers: sends calls, gives them up, probes. */
 public final class ProviderPools implements Providers {
 
-    private static final Logger LOG = Logger.getLogger(ProviderPools.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(ProviderPools.class);
     /** Idle connections are retired after this part of the time after which providers close them. */
     private static final double RETIRE = 0.6;
     private static final long PROBE_MICROS = 300_000;
@@ -71,7 +73,8 @@
 
     private void state(Pool pool, boolean ready) {
         if (ready != pool.ready) {
-            LOG.info("provider " + pool.id + (ready ? " ready" : " takes no new work"));
+            Events.info(LOG, ready ? "provider.ready" : "provider.leaving").addKeyValue("provider", pool.id)
+                    .log("provider " + pool.id + (ready ? " ready" : " takes no new work"));
         }
         if (ready) {
             pool.ready = true;
--- a/src/test/java/postgrade/benchlink/SettingsReaderTest.java
+++ b/daemon/src/test/java/postgrade/benchlink/SettingsReaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.Test;
 import postgrade.Dispatcher.Effect;
 import postgrade.Dispatcher.Settings;
+import postgrade.settings.SettingsReader;
 
 public class SettingsReaderTest {
 
@@ -30,13 +31,13 @@
 
     @Test
     public void pairsAndNestedJsonGiveTheModuleTheSame() {
-        Settings nested = SettingsReader.ofJson(Json.parse(("{'balancers':5,'index':1,'zone':'hall-b',"
+        Settings nested = SettingsReader.ofPairs(JsonPairs.of(Json.parse(("{'balancers':5,'index':1,'zone':'hall-b',"
                 + "'skus':['big','small'],'classes':[{'name':'price','idempotency':'read_like','onTimeNs':200000000},"
                 + "{'name':'confirm','idempotency':'non_idempotent','onTimeNs':300000000}],"
                 + "'specifics':{'classKind':[-1,1],'classStretch':[2.5,1.75]},"
                 + "'tenants':[{'name':'kvart','quotaPerS':33.0}],'fees':{'probe':0.0034},"
                 + "'telemetry':{'source':'silent','fields':[]},'limits':{'mayProbe':true,'retryAfter':false,'maxRetryAfterNs':2000000000}}")
-                .replace('\'', '"')).asObject()).settings();
+                .replace('\'', '"')).asObject())).settings();
         Settings pairs = ofPairs(PAIRS);
         assertEquals(pairs.classes, nested.classes);
         assertEquals(Effect.UNSAFE, nested.classes.get(1).effect());
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/WallsTest.java
@@ -0,0 +1,34 @@
+package postgrade.daemon;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.Test;
+
+/** The walls between the daemon's sides. */
+public class WallsTest {
+
+    private static final JavaClasses DAEMON = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("postgrade");
+
+    private static void apart(String from, String... others) {
+        noClasses().that().resideInAPackage(from).should().dependOnClassesThat().resideInAnyPackage(others)
+                .check(DAEMON);
+    }
+
+    @Test
+    public void noFrontKnowsABack() {
+        apart("postgrade.consumer..", "postgrade.provider..", "postgrade.discovery..", "postgrade.daemon..");
+        apart("postgrade.provider..", "postgrade.consumer..", "postgrade.discovery..", "postgrade.daemon..");
+        apart("postgrade.discovery..", "postgrade.consumer..", "postgrade.provider..", "postgrade.daemon..",
+                "postgrade.gateway.Gateway");
+    }
+
+    @Test
+    public void theCodecKnowsNobody() {
+        apart("postgrade.http..", "postgrade", "postgrade.gateway..", "postgrade.consumer..", "postgrade.provider..",
+                "postgrade.discovery..", "postgrade.daemon..");
+    }
+}
--- /dev/null
+++ b/log/src/main/java/postgrade/log/EventLine.java
@@ -0,0 +1,67 @@
+package postgrade.log;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.time.Instant;
+import java.util.List;
+import org.slf4j.event.KeyValuePair;
+import org.slf4j.event.Level;
+
+/** One line of the log. Whatever the text or fields hold, it stays one line. */
+record EventLine(long unixMillis, Level level, String logger, String message, List<KeyValuePair> fields,
+        Throwable thrown) {
+
+    /** Names in the text that on-call staff search for; they are older than the structured lines. */
+    private static String name(Level level) {
+        return switch (level) {
+            case ERROR -> "SEVERE";
+            case WARN -> "WARNING";
+            case INFO -> "INFO";
+            default -> "FINE";
+        };
+    }
+
+    String text() {
+        String cause = thrown == null ? "" : " (" + thrown + " at " + place() + ")";
+        return Instant.ofEpochMilli(unixMillis) + " " + name(level) + " " + oneLine(message + cause) + "\n";
+    }
+
+    /** {@code {"time","level","event","message","logger", and the event's own fields}}. */
+    String json() {
+        JsonObject line = Json.object().add("time", Instant.ofEpochMilli(unixMillis).toString())
+                .add("level", name(level));
+        if (fields != null) {
+            for (KeyValuePair field : fields) {
+                line.set(field.key, value(field.value));
+            }
+        }
+        line.set("message", message);
+        line.set("logger", logger);
+        if (thrown != null) {
+            line.set("thrown", thrown.toString());
+            line.set("at", place());
+        }
+        return line + "\n";
+    }
+
+    private static JsonValue value(Object value) {
+        if (value instanceof Integer || value instanceof Long) {
+            return Json.value(((Number) value).longValue());
+        }
+        if (value instanceof Number n && Double.isFinite(n.doubleValue())) {
+            return Json.value(n.doubleValue());
+        }
+        return value instanceof Boolean b ? Json.value(b) : Json.value(String.valueOf(value));
+    }
+
+    private String place() {
+        return thrown.getStackTrace().length == 0 ? "?" : thrown.getStackTrace()[0].toString();
+    }
+
+    /** Guards whoever reads by the line: a message from outside may hold line ends. */
+    private static String oneLine(String text) {
+        return text.indexOf('\n') < 0 && text.indexOf('\r') < 0 ? text
+                : text.replace("\r", "\\r").replace("\n", "\\n");
+    }
+}
--- /dev/null
+++ b/log/src/main/java/postgrade/log/EventLogger.java
@@ -0,0 +1,63 @@
+package postgrade.log;
+
+import org.slf4j.Marker;
+import org.slf4j.event.Level;
+import org.slf4j.event.LoggingEvent;
+import org.slf4j.helpers.LegacyAbstractLogger;
+import org.slf4j.helpers.MessageFormatter;
+import org.slf4j.spi.LoggingEventAware;
+
+/** One logger. Events with fields come by {@link #log(LoggingEvent)}, plain lines by the call below. */
+final class EventLogger extends LegacyAbstractLogger implements LoggingEventAware {
+
+    private static final long serialVersionUID = 1L;
+
+    EventLogger(String name) {
+        this.name = name;
+    }
+
+    @Override
+    public void log(LoggingEvent event) {
+        String message = event.getArguments() == null ? event.getMessage()
+                : MessageFormatter.arrayFormat(event.getMessage(), event.getArgumentArray()).getMessage();
+        EventLogs.write(new EventLine(System.currentTimeMillis(), event.getLevel(), name, message,
+                event.getKeyValuePairs(), event.getThrowable()));
+    }
+
+    @Override
+    protected void handleNormalizedLoggingCall(Level level, Marker marker, String message, Object[] arguments,
+            Throwable thrown) {
+        String text = arguments == null ? message : MessageFormatter.basicArrayFormat(message, arguments);
+        EventLogs.write(new EventLine(System.currentTimeMillis(), level, name, text, null, thrown));
+    }
+
+    @Override
+    protected String getFullyQualifiedCallerName() {
+        return null; // Lines do not tell where in the code they were written.
+    }
+
+    @Override
+    public boolean isTraceEnabled() {
+        return EventLogs.writes(Level.TRACE);
+    }
+
+    @Override
+    public boolean isDebugEnabled() {
+        return EventLogs.writes(Level.DEBUG);
+    }
+
+    @Override
+    public boolean isInfoEnabled() {
+        return EventLogs.writes(Level.INFO);
+    }
+
+    @Override
+    public boolean isWarnEnabled() {
+        return EventLogs.writes(Level.WARN);
+    }
+
+    @Override
+    public boolean isErrorEnabled() {
+        return EventLogs.writes(Level.ERROR);
+    }
+}
--- /dev/null
+++ b/log/src/main/java/postgrade/log/EventLogs.java
@@ -0,0 +1,95 @@
+package postgrade.log;
+
+import java.io.PrintStream;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.slf4j.ILoggerFactory;
+import org.slf4j.IMarkerFactory;
+import org.slf4j.Logger;
+import org.slf4j.event.Level;
+import org.slf4j.helpers.BasicMDCAdapter;
+import org.slf4j.helpers.BasicMarkerFactory;
+import org.slf4j.spi.MDCAdapter;
+import org.slf4j.spi.SLF4JServiceProvider;
+
+/**
+ * The backend of SLF4J in all our programs: one line an event on standard error, as text or as a JSON object. It holds
+ * no thread, file or shutdown hook, so lines written during an orderly stop are kept.
+ */
+public final class EventLogs implements SLF4JServiceProvider {
+
+    /** How a line is written. */
+    public enum Format { TEXT, JSON }
+
+    private static final String SLF4J_API = "2.0.99";
+    private static volatile Format format = Format.TEXT;
+    private static volatile Level least = Level.INFO;
+    private static volatile PrintStream out = System.err;
+
+    private final Map<String, Logger> loggers = new ConcurrentHashMap<>();
+    private final IMarkerFactory markers = new BasicMarkerFactory();
+    private final MDCAdapter contexts = new BasicMDCAdapter();
+
+    /** Names this backend to SLF4J, which then looks for no other: a search costs the start of a process time. */
+    public static void use(Format as) {
+        System.setProperty("slf4j.provider", EventLogs.class.getName());
+        System.setProperty("slf4j.internal.verbosity", "WARN"); // Else SLF4J writes a line of its own about it.
+        format = as;
+    }
+
+    /** Reads {@code text} or {@code json}; another word is an {@link IllegalArgumentException}. */
+    public static Format formatNamed(String name) {
+        for (Format f : Format.values()) {
+            if (f.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return f;
+            }
+        }
+        throw new IllegalArgumentException("--log-format is text or json, not " + name);
+    }
+
+    /** Lines below this level are not written. */
+    public static void least(Level level) {
+        least = level;
+    }
+
+    /** Where lines go; for tests. */
+    public static void to(PrintStream stream) {
+        out = stream;
+    }
+
+    static boolean writes(Level level) {
+        return level.toInt() >= least.toInt();
+    }
+
+    static void write(EventLine line) {
+        String text = format == Format.JSON ? line.json() : line.text();
+        out.print(text); // One call a line: lines of several threads do not mix.
+        out.flush();
+    }
+
+    @Override
+    public ILoggerFactory getLoggerFactory() {
+        return name -> loggers.computeIfAbsent(name, EventLogger::new);
+    }
+
+    @Override
+    public IMarkerFactory getMarkerFactory() {
+        return markers;
+    }
+
+    @Override
+    public MDCAdapter getMDCAdapter() {
+        return contexts;
+    }
+
+    @Override
+    public String getRequestedApiVersion() {
+        return SLF4J_API;
+    }
+
+    @Override
+    public void initialize() {
+        // Nothing to set up: the format is given by use().
+    }
+}
