--- a/script/src/main/java/postgrade/script/Indenter.java
+++ b/script/src/main/java/postgrade/script/Indenter.java
@@ -8,6 +8,7 @@
 import org.antlr.v4.runtime.TokenFactory;
 import org.antlr.v4.runtime.TokenSource;
 import postgrade.script.grammar.StarlarkLexer;
+import postgrade.script.grammar.StarlarkParser;
 
 /** Turns line ends and leading spaces into NEWLINE, INDENT and DEDENT, as the specification says. */
 final class Indenter implements TokenSource {
@@ -81,7 +82,7 @@
                 throw new ScriptError(at(t), "indented too deeply");
             }
             indents.push(indent);
-            ready.add(made(StarlarkLexer.INDENT, t));
+            ready.add(made(StarlarkParser.INDENT, t));
         } else {
             dedentTo(indent, t);
             if (indents.peek() != indent) {
@@ -93,7 +94,7 @@
     private void dedentTo(int indent, Token t) {
         while (indents.peek() > indent) {
             indents.pop();
-            ready.add(made(StarlarkLexer.DEDENT, t));
+            ready.add(made(StarlarkParser.DEDENT, t));
         }
     }
 
