--- a/script/src/test/resources/conformance.star
+++ b/script/src/test/resources/conformance.star
@@ -1,4 +1,4 @@
-# Chunks are separated by ---. A line with "### TEXT" says that the chunk ends with an error at that line that holds TEXT.
+# Chunks are separated by ---. Three hashes and a text behind a statement say that the chunk ends with an error that holds it.
 eq(1 + 2 * 3 - 4 // 3, 6)
 eq(-7 // 2, -4)
 eq(-7 % 2, 1)
