--- /dev/null
+++ b/fleet/src/main/java/postgrade/fleet/Ledger.java
@@ -0,0 +1,87 @@
+package postgrade.fleet;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/**
+ * What a stand-in saw, written down line by line: {@code time, event, id, party, detail}, separated by tabs. A line is in
+ * the file, safe from this process's death, once {@link #flush} has returned. Thread-safe.
+ */
+public final class Ledger implements Closeable {
+
+    private static final int BUFFER = 1 << 16;
+
+    private final FileChannel file;
+    private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER);
+
+    /** Opens a ledger to be added to; a line cut off by a death before is ended first. */
+    public Ledger(Path path) throws IOException {
+        file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        long size = file.size();
+        if (size > 0) {
+            ByteBuffer last = ByteBuffer.allocate(1);
+            file.read(last, size - 1);
+            file.position(size);
+            if (last.get(0) != '\n') {
+                buffer.put((byte) '\n');
+            }
+        }
+    }
+
+    /** Adds a line. Nothing in it may hold a tab or a line end; those are written as spaces. */
+    public void add(long micros, String event, String id, String party, String detail) {
+        String line = micros + "\t" + event + "\t" + plain(id) + "\t" + plain(party) + "\t" + plain(detail) + "\n";
+        byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+        synchronized (this) {
+            if (buffer.remaining() < bytes.length) {
+                flush();
+            }
+            if (bytes.length > buffer.capacity()) {
+                write(ByteBuffer.wrap(bytes));
+            } else {
+                buffer.put(bytes);
+            }
+        }
+    }
+
+    private static String plain(String text) {
+        if (text == null) {
+            return "";
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < ' ') {
+                return text.replaceAll("[\\x00-\\x1f]", " ");
+            }
+        }
+        return text;
+    }
+
+    /** Hands all lines to the system. */
+    public synchronized void flush() {
+        buffer.flip();
+        write(buffer);
+        buffer.clear();
+    }
+
+    private void write(ByteBuffer bytes) {
+        try {
+            while (bytes.hasRemaining()) {
+                file.write(bytes);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // Without its ledger a stand-in proves nothing.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        flush();
+        file.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/postgrade/fleet/WorkerModelTest.java
@@ -0,0 +1,151 @@
+package postgrade.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import postgrade.fleet.model.Listener;
+import postgrade.fleet.model.WorkerModel;
+import postgrade.fleet.model.WorkerModel.Job;
+import postgrade.fleet.model.WorkerSpec;
+
+class WorkerModelTest {
+
+    private final List<String> heard = new ArrayList<>();
+
+    private final Listener listener = new Listener() {
+        private void add(long now, String what, Job job) {
+            heard.add(now / 1000 + " " + what + " " + job.id);
+        }
+
+        @Override
+        public void started(long now, Job job) {
+            add(now, "started", job);
+        }
+
+        @Override
+        public void progress(long now, Job job, double share) {
+            add(now, "progress", job);
+        }
+
+        @Override
+        public void done(long now, Job job) {
+            add(now, "done", job);
+        }
+
+        @Override
+        public void failed(long now, Job job) {
+            add(now, "failed", job);
+        }
+
+        @Override
+        public void returned(long now, Job job) {
+            add(now, "returned", job);
+        }
+
+        @Override
+        public void fellOver(long now) {
+            heard.add(now / 1000 + " fell over");
+        }
+    };
+
+    private WorkerModel worker(int cores, double speed, int queue, boolean cold) {
+        return new WorkerModel(new WorkerSpec("m", cores, speed, queue, 0.14, 23_000_000, 3, 2_000_000, true, false),
+                0, cold, 1_000_000, listener);
+    }
+
+    private static Job job(String id, int priority, double ms) {
+        return new Job(id, priority, priority == 0, ms * 1000, null);
+    }
+
+    @Test
+    void jobsRunOnAllCoresAtTheirSpeedAndTheRestWaits() {
+        WorkerModel w = worker(2, 2, 1, false);
+        assertTrue(w.submit(job("a", 0, 100)) && w.submit(job("b", 0, 200)) && w.submit(job("c", 0, 40)));
+        assertFalse(w.submit(job("d", 0, 1)), "its queue is full");
+        w.advance(1_000_000);
+        assertEquals(List.of("0 started a", "0 started b", "50 done a", "50 started c", "70 done c", "100 done b"),
+                heard);
+    }
+
+    @Test
+    void aJobOfHigherPrioritySuspendsOneThatMayBeRepeatedAndItGoesOnWhereItWas() {
+        WorkerModel w = worker(1, 1, 4, false);
+        w.submit(job("low", 0, 100));
+        w.advance(40_000);
+        w.submit(job("high", 1, 30));
+        w.submit(job("next", 1, 10));
+        w.advance(1_000_000);
+        assertEquals(List.of("0 started low", "40 started high", "70 done high", "70 started next", "80 done next",
+                "140 done low"), heard);
+    }
+
+    @Test
+    void aPauseStopsTheWorkAndANeighbourSlowsIt() {
+        WorkerModel w = worker(1, 1, 4, false);
+        w.submit(job("a", 0, 100));
+        w.advance(50_000);
+        w.pause(true);
+        assertEquals(Long.MAX_VALUE, w.nextMicros());
+        w.advance(150_000);
+        w.pause(false);
+        w.neighbour(0.5);
+        w.advance(400_000);
+        assertEquals(List.of("0 started a", "250 done a"), heard);
+    }
+
+    @Test
+    void aDrainingWorkerHandsBackWhatHasNotStartedAndFinishesTheRest() {
+        WorkerModel w = worker(1, 1, 4, false);
+        w.submit(job("a", 0, 100));
+        w.submit(job("b", 0, 100));
+        w.drain(true);
+        assertFalse(w.submit(job("c", 0, 1)));
+        w.advance(1_000_000);
+        assertEquals(List.of("0 started a", "0 returned b", "100 done a"), heard);
+        assertTrue(w.idle());
+    }
+
+    @Test
+    void aColdWorkerIsSlowAndFallsOverWhenSentTooMuch() {
+        WorkerModel w = worker(1, 1, 100, true);
+        w.submit(job("a", 0, 100));
+        w.advance(2_000_000);
+        assertEquals("started a", heard.get(0).substring(2));
+        long doneAt = Long.parseLong(heard.get(heard.size() - 1).split(" ")[0]);
+        assertTrue(doneAt > 550 && doneAt < 720, "100 ms of work at a seventh of the pace: " + doneAt);
+        heard.clear();
+        for (int i = 0; i < 30 && !w.isDown(); i++) {
+            w.submit(job("x" + i, 0, 100));
+        }
+        assertTrue(w.isDown());
+        assertTrue(heard.contains("2000 fell over"), heard.toString());
+        assertFalse(w.submit(job("y", 0, 1)));
+    }
+
+    @Test
+    void aJobThatIsGivenUpIsGoneAndAnotherTakesItsPlace() {
+        WorkerModel w = worker(1, 1, 4, false);
+        w.submit(job("a", 0, 100));
+        w.submit(job("b", 0, 10));
+        w.advance(20_000);
+        assertTrue(w.giveUp("a"));
+        assertFalse(w.giveUp("a"));
+        w.advance(1_000_000);
+        assertEquals(List.of("0 started a", "20 started b", "30 done b"), heard);
+    }
+
+    @Test
+    void aFailureComesAfterItsWorkAndAnotherSubmissionOfAJobIsTurnedAway() {
+        WorkerModel w = worker(1, 1, 4, false);
+        Job a = job("a", 0, 100);
+        w.submit(a);
+        assertFalse(w.submit(job("a", 0, 5)), "one id, one job");
+        w.failAfter(a, 3000);
+        w.advance(100_000);
+        assertEquals(List.of("0 started a", "3 failed a"), heard);
+    }
+}
