--- a/cli/src/main/java/postgrade/cli/CheckCommand.java
+++ b/cli/src/main/java/postgrade/cli/CheckCommand.java
@@ -17,7 +17,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "FILE", description = "A dispatcher's configuration (JSON) or a plan (.star).")
+    @Parameters(paramLabel = "FILE", description = "A dispatcher's configuration (JSON), a plan or a fleet (.star).")
     private Path file;
 
     @Override
--- a/cli/src/main/java/postgrade/cli/LoadCommand.java
+++ b/cli/src/main/java/postgrade/cli/LoadCommand.java
@@ -18,6 +18,7 @@
 import postgrade.load.convert.Converter;
 import postgrade.load.convert.Inspection;
 import postgrade.load.convert.TraceTable;
+import postgrade.load.generate.Damage;
 import postgrade.load.generate.Friday;
 import postgrade.load.imports.ImportReport;
 import postgrade.load.imports.Importer;
@@ -27,7 +28,8 @@
 /** Recorded and generated load: sources, traces and what is done with them. */
 @Command(name = "load", description = "Take HAR files and logs as load, and replay it.",
         subcommands = {LoadCommand.Import.class, LoadCommand.Inspect.class, LoadCommand.Generate.class,
-            LoadCommand.Convert.class, ReplayCommand.class, SearchCommand.class,
+            LoadCommand.Convert.class, ReplayCommand.class, SearchCommand.class, FidelityCommand.class,
+            LoadCommand.DamageLog.class,
             LoadCommand.ShowPlan.class})
 final class LoadCommand implements Runnable {
 
@@ -214,6 +216,30 @@
         }
     }
 
+    @Command(name = "damage", description = "Damage a combined log in ways that happen, a known number of times each.")
+    static final class DamageLog implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "IN.log", description = "The log.")
+        private Path in;
+        @Parameters(index = "1", paramLabel = "OUT.log", description = "The damaged copy.")
+        private Path out;
+        @Option(names = "--each", defaultValue = "10", description = "Times each damage (default: ${DEFAULT-VALUE}).")
+        private int each;
+        @Option(names = "--seed", defaultValue = "1", description = "Of all chance in it (default: ${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Override
+        public Integer call() throws IOException {
+            if (each < 1) {
+                throw new ParameterException(spec.commandLine(), "--each must be above 0");
+            }
+            Damage.write(in, out, each, seed).forEach((c, n) -> spec.commandLine().getOut().printf(Locale.ROOT,
+                    "%-24s %8d  %s%n", c.key(), n, c.meaning));
+            return 0;
+        }
+    }
+
     @Command(name = "show-plan", description = "Print a shipped plan, as a start for one's own.")
     static final class ShowPlan implements Callable<Integer> {
         @Spec
--- a/cli/src/main/java/postgrade/cli/SettingsFiles.java
+++ b/cli/src/main/java/postgrade/cli/SettingsFiles.java
@@ -1,10 +1,12 @@
 package postgrade.cli;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import postgrade.daemon.Check.Setting;
+import postgrade.fleet.plan.FleetPlan;
 import postgrade.load.plan.Plan;
 import postgrade.load.source.Cause;
 import postgrade.load.source.Policies;
@@ -15,9 +17,29 @@
     private SettingsFiles() { }
 
     static List<Setting> check(Path file) throws IOException {
+        // A fleet names its workers at the top; anything else is held to be a plan, whose messages say what it lacks.
+        if (Files.readAllLines(file).stream().anyMatch(l -> l.matches("workers\\s*=.*"))) {
+            return fleet(FleetPlan.of(file, line -> { }));
+        }
         return plan(Plan.of(file, line -> { }), file);
     }
 
+    private static List<Setting> fleet(FleetPlan f) {
+        List<Setting> all = new ArrayList<>();
+        all.add(new Setting("seed", Long.toString(f.seed), f.seed == 1 ? "file or default" : "file"));
+        all.add(new Setting("workers", f.workers.size() + ", " + f.workers.stream().mapToInt(w -> w.spec().cores()).sum()
+                + " cores", "file"));
+        f.classes.values().forEach(c -> all.add(new Setting("classes[\"" + c.name() + "\"]", c.workMs() + " ms, "
+                + (c.repeatable() ? "may be repeated" : "must not run twice"), "file")));
+        f.tenants.forEach((t, rate) -> all.add(new Setting("tenants[\"" + t + "\"]", rate + " a second", "file")));
+        f.faults.forEach(x -> all.add(new Setting("faults", x.kind() + " at " + x.at() + " s for " + x.lasts() + " s",
+                "file")));
+        all.add(new Setting("notice_ms", f.noticeMs[0] + " to " + f.noticeMs[1], "file or default"));
+        all.add(new Setting("idle_ms", Double.toString(f.idleMs), "file or default"));
+        all.add(new Setting("most_connections", Integer.toString(f.mostConnections), "file or default"));
+        return all;
+    }
+
     private static List<Setting> plan(Plan plan, Path file) {
         Policies p = plan.policies();
         Policies defaults = new Policies();
--- a/fleet/src/main/java/postgrade/fleet/plan/FleetPlan.java
+++ b/fleet/src/main/java/postgrade/fleet/plan/FleetPlan.java
@@ -218,11 +218,15 @@
     private static double num(String key, Object v, double least) {
         double d = v instanceof Long n ? n : v instanceof Double x ? x : Double.NaN;
         if (!(d >= least && d < 1e15)) {
-            throw Script.error(key + " must be a number from " + Values.str(least) + " on, not " + Values.repr(v));
+            throw Script.error(key + " must be a number from " + plain(least) + " on, not " + Values.repr(v));
         }
         return d;
     }
 
+    private static String plain(double d) {
+        return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
+    }
+
     private static double share(String key, Object v) {
         double d = num(key, v, 0);
         if (d > 1) {
@@ -277,7 +281,7 @@
         }
         double d = v instanceof Long n ? n : v instanceof Double x ? x : Double.NaN;
         if (!(d >= least)) {
-            throw faulty(key, "must be a number" + (least == Long.MIN_VALUE ? "" : " from " + Values.str(least) + " on")
+            throw faulty(key, "must be a number" + (least == Long.MIN_VALUE ? "" : " from " + plain(least) + " on")
                     + ", not " + Values.repr(v));
         }
         return d;
--- a/lab/src/main/java/postgrade/lab/replay/Replay.java
+++ b/lab/src/main/java/postgrade/lab/replay/Replay.java
@@ -69,6 +69,9 @@
     /** Runs a replay to its end. */
     public static ReplayResult run(ReplayOptions options) throws IOException, InterruptedException {
         options.check();
+        if (options.rehearsalSeconds > 0) {
+            Rehearsal.run(options.rehearsalSeconds, options.loops);
+        }
         return new Replay(options).run();
     }
 
--- a/lab/src/main/java/postgrade/lab/replay/ReplayOptions.java
+++ b/lab/src/main/java/postgrade/lab/replay/ReplayOptions.java
@@ -29,6 +29,8 @@
     public int loops = 2;
     /** Rounds of questions on fresh connections before the schedule begins. */
     public int warmRounds = 100;
+    /** Of a replay against a sink of our own beforehand, so that the first jobs leave on time; 0 for none. */
+    public double rehearsalSeconds = 2;
     /** Goes on where a replay into this folder was cut off. */
     public boolean resume;
     /** For jobs that the trace gives no deadline. */
--- a/lab/src/main/java/postgrade/lab/replay/Search.java
+++ b/lab/src/main/java/postgrade/lab/replay/Search.java
@@ -72,6 +72,7 @@
         base.mostMicros = (long) (seconds * 1e6);
         base.seed++; // Fresh ids: a dispatcher may still hold those of the step before.
         ReplayResult r = Replay.run(base);
+        base.rehearsalSeconds = 0; // The first step has warmed the machine up for all.
         double took = Math.max(0.001, Math.min(seconds, r.seconds()));
         Step step = new Step(speed, (r.sent.sum() + r.unsent.sum()) / took, level.keptBy(r), level.reached(r));
         steps.add(step);
--- a/lab/src/test/java/postgrade/lab/ReplayMain.java
+++ b/lab/src/test/java/postgrade/lab/ReplayMain.java
@@ -19,6 +19,7 @@
         o.speed = Double.parseDouble(args[3]);
         o.resume = true;
         o.warmRounds = 2;
+        o.rehearsalSeconds = 0;
         Replay.run(o);
     }
 }
--- a/lab/src/test/java/postgrade/lab/ReplayTest.java
+++ b/lab/src/test/java/postgrade/lab/ReplayTest.java
@@ -110,6 +110,7 @@
         o.targets = targets;
         o.folder = folder;
         o.warmRounds = 5;
+        o.rehearsalSeconds = 0.2;
         return o;
     }
 
@@ -193,14 +194,15 @@
     @Test
     void aReplayThatIsKilledAndResumedSendsNoOrderTwice() throws Exception {
         List<InetSocketAddress> targets = serve(FLEET, 1);
-        Path trace = friday(40, 100);
         int kills = Integer.getInteger("postgrade.kills", 4);
-        String[] args = {trace.toString(), folder.toString(), Integer.toString(targets.get(0).getPort()), "20"};
+        Path trace = friday(40 + 4.0 * kills, 100);
+        java.util.Random random = new java.util.Random(kills);
+        String[] args = {trace.toString(), folder.toString(), Integer.toString(targets.get(0).getPort()), "6"};
         for (int i = 0; i <= kills; i++) {
             Process p = java(Map.of(), folder.resolve("replayer.log"), "postgrade.lab.ReplayMain", args);
             processes.add(p);
             if (i < kills) {
-                awaitSends(i);
+                awaitGrowth(1000 + random.nextInt(60_000));
                 p.destroyForcibly();
                 p.waitFor();
             } else {
@@ -219,18 +221,15 @@
         assertEquals(kills + 1, lines.stream().filter(l -> l.event().equals("began")).count());
     }
 
-    /** Until so many more requests stand in the ledger than when the replayer began. */
-    private void awaitSends(int round) throws Exception {
+    /** Until the clients' ledger has grown by so many bytes: a point somewhere in the replay. */
+    private void awaitGrowth(long bytes) throws Exception {
         Path file = folder.resolve("clients.ledger");
-        long before = java.nio.file.Files.exists(file) ? LedgerReader.read(file).stream()
-                .filter(l -> l.event().equals("sent")).count() : 0;
-        for (int i = 0; i < 4000; i++) {
-            long now = java.nio.file.Files.exists(file) ? LedgerReader.read(file).stream()
-                    .filter(l -> l.event().equals("sent")).count() : 0;
-            if (now > before + 50 + 97 * round % 300) {
+        long before = java.nio.file.Files.exists(file) ? java.nio.file.Files.size(file) : 0;
+        for (int i = 0; i < 20_000; i++) {
+            if (java.nio.file.Files.exists(file) && java.nio.file.Files.size(file) > before + bytes) {
                 return;
             }
-            TimeUnit.MILLISECONDS.sleep(5);
+            TimeUnit.MILLISECONDS.sleep(1);
         }
         throw new IllegalStateException("the replayer sends nothing");
     }
--- a/load/src/main/java/postgrade/load/imports/ImportReport.java
+++ b/load/src/main/java/postgrade/load/imports/ImportReport.java
@@ -18,7 +18,6 @@
     public final Map<Cause, Long> rejected = new EnumMap<>(Cause.class);
     /** Entries that the plan left out, by its reason. */
     public final Map<String, Long> dropped = new TreeMap<>();
-    public final Map<String, Long> classes = new TreeMap<>();
     /** Format by file. */
     public final Map<String, String> formats = new LinkedHashMap<>();
     public boolean filesOutOfOrder;
--- a/load/src/main/java/postgrade/load/imports/Importer.java
+++ b/load/src/main/java/postgrade/load/imports/Importer.java
@@ -356,7 +356,7 @@
             chains.written(r, number, link);
             report.lastMicros = r.at;
             report.retries += link.firstTry() > 0 ? 1 : 0;
-            ImportReport.count(report.classes, r.jobClass);
+            
         }
 
         private Header header(long start) {
--- a/load/src/main/java/postgrade/load/source/LogEntry.java
+++ b/load/src/main/java/postgrade/load/source/LogEntry.java
@@ -36,7 +36,7 @@
         }
         return switch (name) {
             case Fields.METHOD -> word(0);
-            case Fields.TARGET -> target(format.place(Fields.PATH_ONLY), format.place(Fields.QUERY_ONLY));
+            case Fields.TARGET -> target(format.pathAt, format.queryAt);
             case Fields.PROTOCOL -> word(2);
             default -> null;
         };
@@ -45,7 +45,8 @@
     @Override
     public String target() {
         if (target == null) {
-            target = super.target();
+            target = format.targetAt >= 0 ? text(from[format.targetAt], to[format.targetAt])
+                    : target(format.pathAt, format.queryAt);
         }
         return target;
     }
@@ -60,9 +61,9 @@
 
     /** Method, target or protocol out of the request line. A target may hold spaces: clients send what they like. */
     private String word(int which) {
-        int at = format.place(Fields.REQUEST);
+        int at = format.requestAt;
         if (at < 0) {
-            return null;
+            return which == 1 ? "" : null;
         }
         int first = from[at];
         while (first < to[at] && bytes[first] != ' ') {
@@ -123,8 +124,16 @@
         return d < 0 ? -1000 : d;
     }
 
+    @Override
+    public boolean markedRetry() {
+        return format.retryAt >= 0 && super.markedRetry();
+    }
+
     private long number(String field) {
-        int at = format.place(field);
+        return number(format.place(field));
+    }
+
+    private long number(int at) {
         if (at < 0 || from[at] == to[at] || to[at] - from[at] > 18) {
             return -1;
         }
@@ -141,7 +150,7 @@
 
     @Override
     public int status() {
-        long status = number(Fields.STATUS);
+        long status = number(format.statusAt);
         return status < 0 || status > 999 ? 0 : (int) status;
     }
 
--- a/load/src/main/java/postgrade/load/source/LogFormat.java
+++ b/load/src/main/java/postgrade/load/source/LogFormat.java
@@ -38,6 +38,13 @@
     private int stampCount;
     /** IIS writes spaces inside fields as plus signs. */
     private boolean plusIsSpace;
+    /** Places of what every line is asked for; -1 where there is none. */
+    int requestAt;
+    int targetAt;
+    int pathAt;
+    int queryAt;
+    int statusAt;
+    int retryAt;
     /** nginx writes the time at which the answer was done. */
     private boolean stampedAtEnd;
 
@@ -71,6 +78,12 @@
                 && !places.containsKey(Fields.PATH_ONLY)) {
             throw new IllegalArgumentException("the format " + name + " has neither a request nor a path");
         }
+        requestAt = place(Fields.REQUEST);
+        targetAt = place(Fields.TARGET);
+        pathAt = place(Fields.PATH_ONLY);
+        queryAt = place(Fields.QUERY_ONLY);
+        statusAt = place(Fields.STATUS);
+        retryAt = place("header:x-retry");
         ends = new Ends[fields.size()];
         for (int i = 0; i < ends.length; i++) {
             byte[] before = literals.get(i);
--- a/load/src/test/java/postgrade/load/ImportTest.java
+++ b/load/src/test/java/postgrade/load/ImportTest.java
@@ -26,6 +26,7 @@
 import postgrade.load.convert.Converter;
 import postgrade.load.convert.Inspection;
 import postgrade.load.convert.TraceTable;
+import postgrade.load.generate.Damage;
 import postgrade.load.generate.Friday;
 import postgrade.load.imports.ImportReport;
 import postgrade.load.imports.Importer;
@@ -234,6 +235,20 @@
         assertTrue(e.getMessage().contains("a.log:2: truncated"), e.getMessage());
     }
 
+    @Test
+    void aDamagedFridayIsCountedExactlyAsItWasDamaged() throws IOException {
+        Converter.write(friday(), folder.resolve("a.log"), Converter.Form.COMBINED);
+        Map<Cause, Long> done = Damage.write(folder.resolve("a.log"), folder.resolve("b.log"), 20, 3);
+        ImportReport r = run("b.log");
+        Map<Cause, Long> found = new java.util.EnumMap<>(r.rejected);
+        r.repaired.forEach((c, n) -> found.merge(c, n, Long::sum));
+        found.remove(Cause.SECOND_RESOLUTION);
+        assertEquals(done, found);
+        assertEquals(r.entries, r.jobs + r.rejectedCount());
+        assertEquals(Files.readAllLines(folder.resolve("a.log")).size() - 80, r.jobs,
+                "lost are the lines cut, too long, with bad times and with more than the format has");
+    }
+
     @Test
     void aClockSetBackOrForwardIsShiftedKeptOrRejected() throws IOException {
         file("a.log", line("10:00:00", "price", "a", 200) + line("10:00:10", "price", "b", 200)
--- a/script/src/main/java/postgrade/script/Node.java
+++ b/script/src/main/java/postgrade/script/Node.java
@@ -289,6 +289,8 @@
         private final Node[] values;
         private final int plain;
         private final String[] names;
+        /** The method of strings that this calls, if there is one of the name. */
+        private final Methods.Method<?> ofString;
 
         Call(Place place, Node callee, List<Argument> arguments) {
             this.place = place;
@@ -298,13 +300,15 @@
             plain = (int) arguments.stream().filter(a -> a.kind == Kind.PLAIN).count();
             values = simple ? arguments.stream().map(Argument::value).toArray(Node[]::new) : null;
             names = arguments.stream().skip(plain).map(Argument::name).toArray(String[]::new);
+            ofString = callee instanceof Dot dot ? Methods.find("", dot.name) : null;
         }
 
         @Override
         Object eval(Run run, Frame f) {
             if (values != null && callee instanceof Dot dot) {
                 Object of = dot.of.eval(run, f);
-                Methods.Method<?> m = Methods.find(of, dot.name);
+                Methods.Method<?> m = of instanceof String ? ofString : of instanceof Values.HostObject ? null
+                        : Methods.find(of, dot.name);
                 if (m != null) {
                     Object[] given = all(values, run, f);
                     try {
