--- a/cli/src/main/java/postgrade/cli/LoadCommand.java
+++ b/cli/src/main/java/postgrade/cli/LoadCommand.java
@@ -28,7 +28,7 @@
 /** Recorded and generated load: sources, traces and what is done with them. */
 @Command(name = "load", description = "Take HAR files and logs as load, and replay it.",
         subcommands = {LoadCommand.Import.class, LoadCommand.Inspect.class, LoadCommand.Generate.class,
-            LoadCommand.Convert.class, ReplayCommand.class, SearchCommand.class, FidelityCommand.class,
+            LoadCommand.Convert.class, ReplayCommand.class, SearchCommand.class, FidelityCommand.class, OverheadCommand.class,
             LoadCommand.DamageLog.class,
             LoadCommand.ShowPlan.class})
 final class LoadCommand implements Runnable {
