--- a/fleet/src/main/java/postgrade/fleet/Ledger.java
+++ b/fleet/src/main/java/postgrade/fleet/Ledger.java
@@ -1,5 +1,6 @@
 package postgrade.fleet;
 
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,10 +16,14 @@
  */
 public final class Ledger implements Closeable {
 
-    private static final int BUFFER = 1 << 16;
+    /** More than this waits for no flush; whoever adds the line writes. */
+    private static final int MOST_HELD = 1 << 20;
 
     private final FileChannel file;
-    private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER);
+    /** Guards the order of writes; never taken while the monitor of this is held. */
+    private final Object writing = new Object();
+    private ByteArrayOutputStream held = new ByteArrayOutputStream(1 << 16);
+    private ByteArrayOutputStream spare = new ByteArrayOutputStream(1 << 16);
 
     /** Opens a ledger to be added to; a line cut off by a death before is ended first. */
     public Ledger(Path path) throws IOException {
@@ -29,7 +34,7 @@
             file.read(last, size - 1);
             file.position(size);
             if (last.get(0) != '\n') {
-                buffer.put((byte) '\n');
+                held.write('\n');
             }
         }
     }
@@ -38,15 +43,13 @@
     public void add(long micros, String event, String id, String party, String detail) {
         String line = micros + "\t" + event + "\t" + plain(id) + "\t" + plain(party) + "\t" + plain(detail) + "\n";
         byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+        int size;
         synchronized (this) {
-            if (buffer.remaining() < bytes.length) {
-                flush();
-            }
-            if (bytes.length > buffer.capacity()) {
-                write(ByteBuffer.wrap(bytes));
-            } else {
-                buffer.put(bytes);
-            }
+            held.write(bytes, 0, bytes.length);
+            size = held.size();
+        }
+        if (size > MOST_HELD) {
+            flush();
         }
     }
 
@@ -62,20 +65,24 @@
         return text;
     }
 
-    /** Hands all lines to the system. */
-    public synchronized void flush() {
-        buffer.flip();
-        write(buffer);
-        buffer.clear();
-    }
-
-    private void write(ByteBuffer bytes) {
-        try {
-            while (bytes.hasRemaining()) {
-                file.write(bytes);
+    /** Hands all lines to the system. Lines may be added meanwhile: a slow disk holds nobody up but the caller. */
+    public void flush() {
+        synchronized (writing) {
+            ByteArrayOutputStream out;
+            synchronized (this) {
+                out = held;
+                held = spare;
+                spare = out;
+            }
+            try {
+                ByteBuffer bytes = ByteBuffer.wrap(out.toByteArray());
+                while (bytes.hasRemaining()) {
+                    file.write(bytes);
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e); // Without its ledger a stand-in proves nothing.
             }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // Without its ledger a stand-in proves nothing.
+            out.reset();
         }
     }
 
--- a/lab/src/main/java/postgrade/lab/replay/Rehearsal.java
+++ b/lab/src/main/java/postgrade/lab/replay/Rehearsal.java
@@ -41,13 +41,7 @@
         Path folder = Files.createTempDirectory("postgrade-rehearsal");
         NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("sink", true));
         try {
-            Channel sink = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel c) {
-                            c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new Sink());
-                        }
-                    }).bind("127.0.0.1", 0).sync().channel();
+            InetSocketAddress sink = sink(group, 0);
             Path trace = folder.resolve("r.trace");
             try (TraceWriter w = new TraceWriter(trace, Header.getDefaultInstance())) {
                 for (int i = 0; i < seconds * RATE; i++) {
@@ -58,7 +52,7 @@
             ReplayOptions o = new ReplayOptions();
             o.trace = trace;
             o.folder = folder;
-            o.targets = List.of((InetSocketAddress) sink.localAddress());
+            o.targets = List.of(sink);
             o.loops = loops;
             o.rehearsalSeconds = 0;
             o.warmRounds = 1;
@@ -74,14 +68,35 @@
         }
     }
 
-    /** Answers everything at once. */
+    /** A target that answers everything after so long; it lives as long as its loops. */
+    static InetSocketAddress sink(NioEventLoopGroup group, long delayMs) throws InterruptedException {
+        return (InetSocketAddress) new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20),
+                                new Sink(delayMs));
+                    }
+                }).bind("127.0.0.1", 0).sync().channel().localAddress();
+    }
+
     private static final class Sink extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final long delayMs;
+
+        Sink(long delayMs) {
+            this.delayMs = delayMs;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     Unpooled.copiedBuffer("r.w.1", StandardCharsets.US_ASCII));
             answer.headers().setInt("Content-Length", 5);
-            ctx.writeAndFlush(answer);
+            if (delayMs == 0) {
+                ctx.writeAndFlush(answer);
+            } else {
+                ctx.executor().schedule(() -> ctx.writeAndFlush(answer), delayMs, TimeUnit.MILLISECONDS);
+            }
         }
 
         @Override
--- a/lab/src/main/java/postgrade/lab/replay/Replay.java
+++ b/lab/src/main/java/postgrade/lab/replay/Replay.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -29,11 +31,14 @@
  */
 public final class Replay {
 
-    /** Intents are written for what is due within this, in one go. */
-    private static final long AHEAD = 10_000;
+    /** So long before its time a job is planned, and its intent written; jobs of one step in one go. */
+    private static final long AHEAD = 40_000;
+    private static final long STEP = 10_000;
+    private static final int MOST_PLANNED = 1 << 18;
+    private static final Try END = new Try(null, 0, "", 0, false, 0);
     /** The last stretch before a time is waited out awake. */
     private static final long SPIN = 150;
-    private static final long FLUSH_EVERY = 50_000;
+    private static final long FLUSH_MS = 20;
     private static final long PROGRESS_EVERY = 1_000_000;
     private static final long LATE = 1_000;
     /** A client waits for its answer this much beyond the deadline, so that a late one is seen as late. */
@@ -110,13 +115,14 @@
     }
 
     private ReplayResult run() throws IOException, InterruptedException {
-        NioEventLoopGroup group = new NioEventLoopGroup(o.loops, new DefaultThreadFactory("clients", true));
+        NioEventLoopGroup group = new NioEventLoopGroup(o.loops + 1, new DefaultThreadFactory("clients", true));
         try (TraceReader trace = new TraceReader(o.trace)) {
             for (int i = 0; i < o.loops; i++) {
                 clients.add(new Clients(this, group.next(), Math.max(1, o.mostConnections / o.loops)));
             }
             ledger.add(Clock.micros(), "began", "", "client", "trace=" + o.trace.getFileName() + " seed=" + o.seed
                     + " speed=" + o.speed);
+            group.next().scheduleAtFixedRate(ledger::flush, FLUSH_MS, FLUSH_MS, TimeUnit.MILLISECONDS);
             warm();
             trace.seek(o.fromMicros);
             schedule(trace);
@@ -145,12 +151,12 @@
 
     // ---- The schedule.
 
-    private long lastFlush;
+    private volatile IOException planFailure;
     private long lastProgress;
     private long lastSent;
     private int next;
 
-    private void schedule(TraceReader trace) throws IOException {
+    private void schedule(TraceReader trace) throws IOException, InterruptedException {
         TraceJob job = trace.next();
         while (job != null && job.number() <= doneBefore) {
             if (meant.contains(job.number() + ".0") || o.neverTwice.contains(job.jobClass())) {
@@ -160,33 +166,77 @@
         }
         result.startMicros = Clock.micros() + START_DELAY;
         long origin = job == null ? 0 : o.resume && doneBefore > 0 ? job.atMicros() : o.fromMicros;
-        List<Try> batch = new ArrayList<>();
-        while (job != null && job.atMicros() < o.toMicros) {
-            long due = due(job, origin);
-            if (due - result.startMicros > o.mostMicros) {
-                break;
+        BlockingQueue<Try> planned = new ArrayBlockingQueue<>(MOST_PLANNED);
+        TraceJob first = job;
+        Thread planner = new Thread(() -> plan(trace, first, origin, planned), "planner");
+        planner.setDaemon(true);
+        planner.start();
+        for (Try t = planned.take(); t != END; t = planned.take()) {
+            sleepUntil(t.intendedMicros);
+            if (t.job.isRetry() && !fates.callsForRetry(t.job.firstTry(), t.copy, t.neverTwice)) {
+                result.retriesNotCalledFor++;
+                continue;
             }
-            batch.clear();
-            long until = due + AHEAD;
-            while (job != null && job.atMicros() < o.toMicros && due(job, origin) < until) {
-                expand(job, due(job, origin), batch);
-                job = trace.next();
+            if (t.job.isRetry() && t.neverTwice) {
+                intend(t);
+                ledger.flush();
             }
-            sleepUntil(due - AHEAD);
-            intend(batch);
-            for (Try t : batch) {
-                sleepUntil(t.intendedMicros);
-                if (t.job.isRetry() && !fates.callsForRetry(t.job.firstTry(), t.copy, t.neverTwice)) {
-                    result.retriesNotCalledFor++;
-                    continue;
+            send(t);
+        }
+        if (planFailure != null) {
+            throw planFailure;
+        }
+    }
+
+    /**
+     * Reads the trace ahead of the schedule, and writes down the intents of what must not be sent twice. On a thread of
+     * its own, so that neither the trace's nor the ledger's file can hold the schedule up.
+     */
+    private void plan(TraceReader trace, TraceJob first, long origin, BlockingQueue<Try> planned) {
+        List<Try> batch = new ArrayList<>();
+        try {
+            TraceJob job = first;
+            while (job != null && job.atMicros() < o.toMicros
+                    && due(job, origin) - result.startMicros <= o.mostMicros) {
+                long until = due(job, origin) + STEP;
+                sleep(due(job, origin) - AHEAD);
+                batch.clear();
+                while (job != null && job.atMicros() < o.toMicros && due(job, origin) < until
+                        && due(job, origin) - result.startMicros <= o.mostMicros) {
+                    expand(job, due(job, origin), batch);
+                    job = trace.next();
                 }
-                if (t.job.isRetry() && t.neverTwice) {
-                    intend(List.of(t), true);
+                boolean any = false;
+                for (Try t : batch) {
+                    if (t.neverTwice && !t.job.isRetry()) {
+                        intend(t);
+                        any = true;
+                    }
+                }
+                if (any) {
+                    ledger.flush(); // Guards against a death in between: a resume must know what may have left.
+                }
+                for (Try t : batch) {
+                    planned.put(t);
                 }
-                send(t);
             }
+        } catch (IOException e) {
+            planFailure = e;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            planned.add(END); // There is room: what is planned ahead is bounded by time.
+        }
+    }
+
+    private static void sleep(long untilMicros) {
+        for (long now = Clock.micros(); now < untilMicros; now = Clock.micros()) {
+            LockSupport.parkNanos((untilMicros - now) * 1000);
         }
-        // Of a batch's end on nothing more is decided here; answers come to the clients.
+    }
+
+    private void intend(Try t) {
+        ledger.add(Clock.micros(), "intent", t.id, "client", t.detail());
     }
 
     private Try stub(TraceJob job) {
@@ -223,23 +273,6 @@
         return (scramble(x) >>> 11) * 0x1.0p-53;
     }
 
-    private void intend(List<Try> batch) {
-        intend(batch, false);
-    }
-
-    private void intend(List<Try> batch, boolean retries) {
-        boolean any = false;
-        for (Try t : batch) {
-            if (t.neverTwice && t.job.isRetry() == retries) {
-                ledger.add(Clock.micros(), "intent", t.id, "client", t.detail());
-                any = true;
-            }
-        }
-        if (any) {
-            ledger.flush(); // Guards against a death in between: a resume must know what may have left.
-        }
-    }
-
     private void sleepUntil(long micros) {
         for (long now = Clock.micros(); now < micros; now = Clock.micros()) {
             progress(now);
@@ -253,10 +286,6 @@
     }
 
     private void progress(long now) {
-        if (now - lastFlush > FLUSH_EVERY) {
-            lastFlush = now;
-            ledger.flush();
-        }
         if (o.progress != null && now - lastProgress > PROGRESS_EVERY) {
             long sent = result.sent.sum();
             o.progress.accept(String.format(Locale.ROOT,
