Leave byte order marks out in one place, and drop what nothing uses

Read once more, the change did some things twice: two readers of lines looked for a byte order mark, one of them by its first byte alone, so that a JSON line beginning with another character of that byte lost it; fidelity read a ledger twice; a report counted its seconds for every figure; a test started dispatchers by code of its own. Some members had no use.

The mark is left out by Lines; the others call what there is. Apart from that lost character nothing behaves otherwise.

--- a/fleet/src/main/java/postgrade/fleet/model/WorkerModel.java
+++ b/fleet/src/main/java/postgrade/fleet/model/WorkerModel.java
@@ -35,7 +35,6 @@
         private boolean startTold;
         private boolean fails;
         private long progressMicros;
-        private long arrival;
 
         public Job(String id, int priority, boolean repeatable, double workMicros, Object attachment) {
             this.id = id;
@@ -79,7 +78,6 @@
                 && waitingCount >= spec.queue() && !wouldSuspend(job)) {
             return false;
         }
-        job.arrival = now;
         jobs.put(job.id, job);
         waiting.computeIfAbsent(-job.priority, p -> new ArrayDeque<>()).addLast(job);
         waitingCount++;
--- a/fleet/src/main/java/postgrade/fleet/net/CallBackClient.java
+++ b/fleet/src/main/java/postgrade/fleet/net/CallBackClient.java
@@ -35,7 +35,6 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private final ArrayDeque<Channel> idle = new ArrayDeque<>();
     private int open;
-    private boolean dead;
 
     private static final class Call {
         final String body;
@@ -57,20 +56,15 @@
         pump();
     }
 
-    /** The worker's process has died: nothing more is told. */
+    /** The worker's process has died: what it had not told yet is lost, and its idle connections are reset. */
     void die() {
-        dead = true;
         waiting.clear();
         idle.forEach(Http::reset);
         idle.clear();
     }
 
-    void revive() {
-        dead = false;
-    }
-
     private void pump() {
-        while (!dead && !waiting.isEmpty()) {
+        while (!waiting.isEmpty()) {
             Channel c = idle.pollFirst();
             if (c != null && !c.isActive()) {
                 continue;
@@ -146,7 +140,7 @@
         }
 
         private void again(Call failed) {
-            if (failed.tries < MOST_TRIES && !dead) {
+            if (failed.tries < MOST_TRIES) {
                 loop.schedule(() -> {
                     waiting.add(failed);
                     pump();
--- a/fleet/src/main/java/postgrade/fleet/net/WorkerServer.java
+++ b/fleet/src/main/java/postgrade/fleet/net/WorkerServer.java
@@ -165,8 +165,7 @@
         note("died", "", "");
         List<Job> lost = model.die();
         for (CallBackClient c : callBacks) {
-            c.die();
-            c.revive(); // The machine's agent outlives the process, and tells of what was lost.
+            c.die(); // The machine's agent outlives the process, and tells of what was lost.
         }
         for (Job job : lost) {
             Attempt a = (Attempt) job.attachment;
--- a/lab/src/main/java/postgrade/lab/demo/DispatcherProcess.java
+++ b/lab/src/main/java/postgrade/lab/demo/DispatcherProcess.java
@@ -56,24 +56,6 @@
                 + (lines.isEmpty() ? "no log" : lines.get(lines.size() - 1)));
     }
 
-    public long pid() {
-        return process.pid();
-    }
-
-    /** CPU time used so far, in milliseconds; -1 where the system does not tell. */
-    public long cpuMillis() {
-        return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(-1L);
-    }
-
-    public boolean isAlive() {
-        return process.isAlive();
-    }
-
-    /** Dies at once, as by SIGKILL. */
-    public void kill() {
-        process.destroyForcibly();
-    }
-
     /** Stops in order. */
     public void stop() throws InterruptedException {
         process.destroy();
--- a/lab/src/main/java/postgrade/lab/replay/Fidelity.java
+++ b/lab/src/main/java/postgrade/lab/replay/Fidelity.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import postgrade.fleet.check.LedgerReader;
@@ -33,7 +34,8 @@
         TreeMap<Long, Long> sent = new TreeMap<>();
         Map<String, Long> sentBy = new HashMap<>();
         long start = Long.MAX_VALUE;
-        for (Line l : LedgerReader.read(folder.resolve("clients.ledger"))) {
+        List<Line> lines = LedgerReader.read(folder.resolve("clients.ledger"));
+        for (Line l : lines) {
             if (l.event().equals("began")) {
                 speed = Double.parseDouble(l.value("speed"));
             } else if (l.event().equals("sent") && l.number("attempt") == 0) {
@@ -41,7 +43,7 @@
             }
         }
         long all = 0;
-        for (Line l : LedgerReader.read(folder.resolve("clients.ledger"))) {
+        for (Line l : lines) {
             if (l.event().equals("sent") && l.number("attempt") == 0) {
                 sent.merge((l.micros() - start) / WINDOW, 1L, Long::sum);
                 sentBy.merge(l.value("class"), 1L, Long::sum);
--- a/lab/src/main/java/postgrade/lab/tables/RunData.java
+++ b/lab/src/main/java/postgrade/lab/tables/RunData.java
@@ -41,6 +41,7 @@
     /** Faults of the fleet, as they began and ended. */
     public final List<Line> faults = new ArrayList<>();
     public long startMicros;
+    private Map<String, java.util.TreeMap<Integer, RunTables.Second>> seconds;
     /** What the run began with, as the ledger tells it. */
     public String began = "";
 
@@ -111,6 +112,15 @@
                 retryAfter == null ? -1 : Double.parseDouble(retryAfter), l.number("deadline"));
     }
 
+    /** Counts by class and second, made once: every table and figure asks for them. */
+    Map<String, java.util.TreeMap<Integer, RunTables.Second>> seconds(
+            java.util.function.Function<RunData, Map<String, java.util.TreeMap<Integer, RunTables.Second>>> make) {
+        if (seconds == null) {
+            seconds = make.apply(this);
+        }
+        return seconds;
+    }
+
     /** The run's length, from the first intended time to the last thing known of a request. */
     public double seconds() {
         long last = 0;
--- a/lab/src/main/java/postgrade/lab/tables/RunTables.java
+++ b/lab/src/main/java/postgrade/lab/tables/RunTables.java
@@ -60,6 +60,10 @@
 
     /** Counts by class and second. Offered and sent go by the intended time, the rest by the time of the answer. */
     public static Map<String, TreeMap<Integer, Second>> seconds(RunData run) {
+        return run.seconds(RunTables::count);
+    }
+
+    private static Map<String, TreeMap<Integer, Second>> count(RunData run) {
         Map<String, TreeMap<Integer, Second>> all = new TreeMap<>();
         for (Row r : run.rows) {
             TreeMap<Integer, Second> of = all.computeIfAbsent(r.jobClass(), c -> new TreeMap<>());
--- a/lab/src/test/java/postgrade/lab/ReplayTest.java
+++ b/lab/src/test/java/postgrade/lab/ReplayTest.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +24,7 @@
 import postgrade.fleet.check.RuleChecker;
 import postgrade.fleet.net.Fleet;
 import postgrade.fleet.plan.FleetPlan;
+import postgrade.lab.demo.DispatcherProcess;
 import postgrade.lab.replay.Replay;
 import postgrade.lab.replay.ReplayOptions;
 import postgrade.lab.replay.ReplayResult;
@@ -50,11 +50,13 @@
     @TempDir
     private Path folder;
     private final List<Process> processes = new ArrayList<>();
+    private final List<DispatcherProcess> served = new ArrayList<>();
     private Fleet fleet;
 
     @AfterEach
     void end() throws IOException {
         processes.forEach(Process::destroyForcibly);
+        served.forEach(DispatcherProcess::close);
         if (fleet != null) {
             fleet.close();
         }
@@ -72,31 +74,16 @@
     private List<InetSocketAddress> serve(String plan, int dispatchers) throws Exception {
         fleet = new Fleet(FleetPlan.of("t.star", plan), folder, dispatchers, 2);
         for (int d = 0; d < dispatchers; d++) {
-            processes.add(java(Map.of("ROUTER_CONFIG", fleet.configurationOf(d).toString()),
-                    folder.resolve("n" + (d + 1) + ".log"), "postgrade.daemon.Main", "serve"));
+            served.add(DispatcherProcess.start(fleet.configurationOf(d), fleet.dispatchers().get(d),
+                    folder.resolve("n" + (d + 1) + ".log")));
         }
-        for (InetSocketAddress a : fleet.dispatchers()) {
-            awaitReady(a);
+        for (DispatcherProcess p : served) {
+            p.awaitReady();
         }
         fleet.begin();
         return fleet.dispatchers();
     }
 
-    private static void awaitReady(InetSocketAddress a) throws Exception {
-        for (int i = 0; i < 2000; i++) {
-            try (Socket s = new Socket(a.getAddress(), a.getPort())) {
-                s.getOutputStream().write("GET /-/ready HTTP/1.1\r\n\r\n".getBytes());
-                if (new String(s.getInputStream().readNBytes(12)).endsWith("200")) {
-                    return;
-                }
-            } catch (IOException e) {
-                // It is not up yet.
-            }
-            TimeUnit.MILLISECONDS.sleep(10);
-        }
-        throw new IllegalStateException("no dispatcher at " + a);
-    }
-
     private Path friday(double seconds, double rate) throws IOException {
         Friday.Options f = new Friday.Options();
         f.seconds = seconds;
--- a/load/src/main/java/postgrade/load/imports/ImportReport.java
+++ b/load/src/main/java/postgrade/load/imports/ImportReport.java
@@ -20,7 +20,6 @@
     public final Map<String, Long> dropped = new TreeMap<>();
     /** Format by file. */
     public final Map<String, String> formats = new LinkedHashMap<>();
-    public boolean filesOutOfOrder;
 
     static <K> void count(Map<K, Long> in, K what) {
         in.merge(what, 1L, Long::sum);
--- a/load/src/main/java/postgrade/load/imports/Sorter.java
+++ b/load/src/main/java/postgrade/load/imports/Sorter.java
@@ -134,10 +134,6 @@
         }
     }
 
-    int runs() {
-        return files.size();
-    }
-
     @Override
     public void close() throws IOException {
         if (run != null) {
--- a/load/src/main/java/postgrade/load/source/JsonLinesSource.java
+++ b/load/src/main/java/postgrade/load/source/JsonLinesSource.java
@@ -36,9 +36,6 @@
         long number = 0;
         while (lines.next()) {
             entry.line = ++number;
-            if (number == 1 && lines.length >= 3 && lines.bytes[0] == (byte) 0xef) {
-                lines.drop(3);
-            }
             if (lines.length == 0 && !lines.hadNuls) {
                 continue;
             }
--- a/load/src/main/java/postgrade/load/source/Lines.java
+++ b/load/src/main/java/postgrade/load/source/Lines.java
@@ -12,6 +12,7 @@
     private final byte[] buffer = new byte[1 << 16];
     private int next;
     private int end;
+    private boolean first = true;
 
     byte[] bytes = new byte[1024];
     int length;
@@ -26,8 +27,18 @@
         this.in = in;
     }
 
-    /** Reads the next line; false at the end. */
+    /** Reads the next line; false at the end. A byte order mark before the first is left out. */
     boolean next() throws IOException {
+        boolean any = read();
+        if (first && length >= 3 && bytes[0] == (byte) 0xef && bytes[1] == (byte) 0xbb && bytes[2] == (byte) 0xbf) {
+            length -= 3;
+            System.arraycopy(bytes, 3, bytes, 0, length);
+        }
+        first = false;
+        return any;
+    }
+
+    private boolean read() throws IOException {
         length = 0;
         tooLong = false;
         hadNuls = false;
@@ -73,9 +84,4 @@
         System.arraycopy(buffer, next, bytes, length, fits);
         length += fits;
     }
-
-    void drop(int count) {
-        System.arraycopy(bytes, count, bytes, 0, length - count);
-        length -= count;
-    }
 }
--- a/load/src/main/java/postgrade/load/source/LogSource.java
+++ b/load/src/main/java/postgrade/load/source/LogSource.java
@@ -39,10 +39,6 @@
         while (lines.next()) {
             number++;
             entry.line = number;
-            if (number == 1 && lines.length >= 3 && lines.bytes[0] == (byte) 0xef && lines.bytes[1] == (byte) 0xbb
-                    && lines.bytes[2] == (byte) 0xbf) {
-                lines.drop(3);
-            }
             if (lines.length == 0 && !lines.hadNuls) {
                 continue;
             }
--- a/load/src/test/java/postgrade/load/ImportTest.java
+++ b/load/src/test/java/postgrade/load/ImportTest.java
@@ -417,6 +417,15 @@
         });
     }
 
+    @Test
+    void aByteOrderMarkIsLeftOutAndNothingElseThatBeginsLikeOne() throws IOException {
+        String object = "{\"time\":\"2026-10-23T10:00:00Z\",\"class\":\"c\"}\n";
+        file("a.jsonl", "\ufeff" + object);
+        assertEquals(1, run(j -> j.format = "jsonl", "a.jsonl").jobs);
+        file("b.jsonl", "\uf8ff" + object); // Begins with the byte of a mark, and is none.
+        assertEquals(Map.of(Cause.BAD_JSON, 1L), run(j -> j.format = "jsonl", "b.jsonl").rejected);
+    }
+
     @Test
     void aSourceOfNoKnownFormatIsToldAndLeavesNoTrace() throws IOException {
         file("a.txt", "once upon a time\nthere was no log\n");
