Take operators' calls, take workers out and back, and drain on call

operator: a listener of its own with its own sockets, served first. roster: what operators say over what discovery says. lifecycle: standby and stop as timetables of one module, which the listener and the daemon ask. The module forgets what a worker did before it was put back and gives it one trial.

Seen on the way: a worker put back had lost its address, as its pool had been dropped while out (NullPointerException in Pool.host); the daemon now keeps what discovery said of each.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -289,9 +289,12 @@
         double least = Double.MAX_VALUE;
         double ties = 0;
         for (Node n : ready) {
-            if (!able(nowNs, h, n) || needsRoom && !fits(nowNs, h, n)) {
+            if (!able(nowNs, h, n) || needsRoom && !fits(nowNs, h, n) && (!n.untried || once)) {
                 continue;
             }
+            if (n.untried && !once) {
+                return n; // Cold it never looks best, and would be left unused.
+            }
             double size = slots(n) * warmth(nowNs, n) / pace(n);
             // A full answer comes at once and leaves none of our jobs there: fewest alone would feed it more.
             double full = slots(n) * (1 - Math.min(1, (nowNs - n.fullNs) / dearestNs));
@@ -441,6 +444,7 @@
         if (warmth(nowNs, n) < 1) {
             n.spendCold(nowNs, coldCost(h, n));
         }
+        n.untried = false;
         n.averageUsed(nowNs, REPORT_LAG_NS);
         h.begin(nowNs, n);
         out.send(h.job.id(), n.id, 0);
@@ -683,6 +687,16 @@
         }
     }
 
+    /** Put back by an operator, restarted. It owes one trial: others look better while it is cold. */
+    @Override
+    public void recalled(long nowNs, String workerId) {
+        Node n = nodes.get(workerId);
+        if (n != null) {
+            n.forget();
+            n.untried = true;
+        }
+    }
+
     @Override
     public void abandoned(long nowNs, String jobId) {
         Held h = jobs.get(jobId);
--- a/core/src/main/java/postgrade/Dispatcher.java
+++ b/core/src/main/java/postgrade/Dispatcher.java
@@ -42,6 +42,9 @@
 
     void list(long nowNs, ListForm form, List<Worker> workers);
 
+    /** An operator had taken this worker out and has put it back, restarted; the list before this says so. */
+    default void recalled(long nowNs, String workerId) { }
+
     void job(long nowNs, Job job);
 
     void started(long nowNs, String jobId, int attempt);
--- a/core/src/main/java/postgrade/State.java
+++ b/core/src/main/java/postgrade/State.java
@@ -54,6 +54,8 @@
         double pace = 1;
         double paced;
         int ejections;
+        /** Put back by an operator and not yet sent to. */
+        boolean untried;
         long ejectedUntilNs;
         final ArrayDeque<Held> askers = new ArrayDeque<>();
         private final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
@@ -72,6 +74,18 @@
             usedAtNs = nowNs;
         }
 
+        /** It is a new process: nothing is held against it, and nothing of its pace is known. */
+        void forget() {
+            failures = 0;
+            ejections = 0;
+            ejectedUntilNs = 0;
+            waitedNs = 0;
+            pace = 1;
+            paced = 0;
+            room = Double.NaN;
+            fullNs = Long.MIN_VALUE / 2;
+        }
+
         void spendCold(long nowNs, double cost) {
             coldSends.add(new double[] {nowNs, cost});
             coldSpent += cost;
--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -179,6 +179,11 @@
         lists.add(now -> module.list(now, form, workers));
     }
 
+    /** An operator has put this worker back; the list that says so has been queued. */
+    public void recalled(String providerId) {
+        lists.add(now -> module.recalled(now, providerId));
+    }
+
     /** Nothing is owed, under way or waiting to be told. */
     public boolean idle() {
         return open.isEmpty() && !pending();
--- /dev/null
+++ b/core/src/main/java/postgrade/roster/Roster.java
@@ -0,0 +1,97 @@
+package postgrade.roster;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import postgrade.Dispatcher.Phase;
+import postgrade.Dispatcher.Worker;
+
+/**
+ * The workers as they count here: what discovery says, and over it what operators have said. A worker that was taken out
+ * drains until it is put back, whatever lists come meanwhile.
+ *
+ * <p>While out a worker is restarted, and the list may be late with its start. So one that is put back is taken for
+ * started at that moment, unless a start since it was taken out is told.
+ */
+public final class Roster {
+
+    /** Guards the memory against a discovery that names ever new workers. */
+    private static final int MOST_SEEN = 10_000;
+
+    private final Map<String, Worker> told = new TreeMap<>();
+    private final Set<String> seen = new HashSet<>();
+    /** Since when each is out; and for those put back, when they were out and back. */
+    private final Map<String, Long> outNs = new TreeMap<>();
+    private final Map<String, Back> back = new HashMap<>();
+
+    /** One that was out: any start the list tells after {@code outNs} is true, else {@code backNs} stands for it. */
+    public record Back(String id, long outNs, long backNs) { }
+
+    /** Takes in what discovery says and returns how it counts. */
+    public List<Worker> list(boolean whole, Collection<Worker> workers) {
+        if (whole) {
+            told.clear();
+        }
+        List<Worker> counted = new ArrayList<>();
+        for (Worker w : workers) {
+            if (w.phase() == Phase.GONE) {
+                told.remove(w.id());
+            } else {
+                told.put(w.id(), w);
+            }
+            if (seen.size() < MOST_SEEN) {
+                seen.add(w.id());
+            }
+            counted.add(counted(w));
+        }
+        return counted;
+    }
+
+    private Worker counted(Worker w) {
+        Phase phase = w.phase() == Phase.READY && outNs.containsKey(w.id()) ? Phase.DRAINING : w.phase();
+        Back was = back.get(w.id());
+        long born = was == null || w.bornNs() > was.outNs ? w.bornNs() : was.backNs;
+        return new Worker(w.id(), w.zone(), w.kind(), w.cell(), phase, w.weight(), born);
+    }
+
+    public boolean isOut(String id) {
+        return outNs.containsKey(id);
+    }
+
+    /** Those that are out, in order. */
+    public List<String> out() {
+        return List.copyOf(outNs.keySet());
+    }
+
+    /** The list has named it at some time. */
+    public boolean knows(String id) {
+        return seen.contains(id) || outNs.containsKey(id);
+    }
+
+    /** As it counts now, or null where the list does not name it. */
+    public Worker worker(String id) {
+        Worker w = told.get(id);
+        return w == null ? null : counted(w);
+    }
+
+    /** Takes a worker out. False if it is out already. */
+    public boolean takeOut(long nowNs, String id) {
+        back.remove(id);
+        return outNs.putIfAbsent(id, nowNs) == null;
+    }
+
+    /** Puts a worker back, however often it was taken out. False if it is not out. */
+    public boolean putBack(long nowNs, String id) {
+        Long since = outNs.remove(id);
+        if (since == null) {
+            return false;
+        }
+        back.put(id, new Back(id, since, nowNs));
+        return true;
+    }
+}
--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -220,7 +220,7 @@
 
     private void write(int status, byte[] body, String retryAfter, boolean keepsAlive) {
         activeMicros = listener.timers.nowMicros();
-        boolean keep = keepsAlive && !(listener.leaving() && ofConsumer);
+        boolean keep = keepsAlive && !(listener.endsConnections() && ofConsumer);
         connection.write(MessageWriter.response(status).header("Retry-After", retryAfter)
                 .header("Connection", keep ? null : "close").body(body));
         if (!keep) {
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -17,6 +17,7 @@
 import postgrade.gateway.Timers;
 import postgrade.http.Connection;
 import postgrade.http.Reactor;
+import postgrade.lifecycle.Lifecycle;
 import postgrade.log.Events;
 
 /** The address where consumers and the providers' call-backs connect. */
@@ -39,6 +40,7 @@
     final Map<String, Long> deadlineMicros;
     private final Set<String> tenants;
     private final BooleanSupplier able;
+    private final Lifecycle lifecycle;
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
     private final ServerSocketChannel channel;
     private final SelectionKey key;
@@ -47,21 +49,21 @@
     /** Since when every place has been taken, 0 if there are places; and whether the log says so. */
     private long shortMicros;
     private boolean told;
-    private boolean stopping;
-    private boolean leaving;
 
     /**
      * @param tenants who may submit jobs; empty where there are none
      * @param able whether an invocation could be served now
+     * @param lifecycle decides readiness and when connections end
      */
     public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, Set<String> tenants,
-            BooleanSupplier able, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
+            BooleanSupplier able, Lifecycle lifecycle, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
         this.reactor = reactor;
         this.timers = timers;
         this.gateway = gateway;
         this.deadlineMicros = deadlineMicros;
         this.tenants = tenants;
         this.able = able;
+        this.lifecycle = lifecycle;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(address, BACKLOG);
@@ -146,8 +148,12 @@
     }
 
     private void sweep() {
+        boolean leaves = lifecycle.leaves(timers.nowMicros());
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.sweep(timers.nowMicros());
+            if (leaves) {
+                c.closeIfIdle(); // So that its consumer turns elsewhere.
+            }
         }
         tellOfShortage(timers.nowMicros());
         pause(false); // A provider's connection may have been closed, or one become idle.
@@ -159,27 +165,12 @@
     }
 
     boolean readyToServe() {
-        return !stopping && able.getAsBoolean();
-    }
-
-    boolean leaving() {
-        return leaving;
-    }
-
-    /** No longer ready, though everything that comes is still served, on connections that stay open. */
-    public void beginStop() {
-        stopping = true;
+        return lifecycle.ready() && able.getAsBoolean();
     }
 
-    /**
-     * Closes the consumers' connections that await no answer, so that they turn elsewhere. Answers from now on ask for
-     * the connection's end.
-     */
-    public void leave() {
-        leaving = true;
-        for (ConsumerConnection c : new ArrayList<>(connections)) {
-            c.closeIfIdle();
-        }
+    /** Answers to consumers end their connections now. */
+    boolean endsConnections() {
+        return lifecycle.endsConnections(timers.nowMicros());
     }
 
     /** Nothing has come in part and no answer is still being written. */
--- a/daemon/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -16,6 +16,7 @@
 import postgrade.Dispatcher.Settings;
 import postgrade.benchlink.JsonPairs;
 import postgrade.discovery.TargetList;
+import postgrade.operator.OperatorListener;
 import postgrade.settings.SettingsReader;
 
 /** The daemon's configuration. This is the one place where it is read, checked and given defaults. */
@@ -41,8 +42,11 @@
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
+    /** Where operators call, or null where nobody does. */
+    final InetSocketAddress operator;
     final long seed;
-    /** Sockets of all peers together. */
+    private int descriptors;
+    /** Sockets of all peers together, the operators' apart. */
     final int sockets;
     final Settings settings;
     final int mostHeld;
@@ -62,6 +66,7 @@
         name = text("name", "ROUTER_NAME");
         listen = address("listen", "ROUTER_LISTEN");
         discovery = address("discovery", "ROUTER_DISCOVERY");
+        operator = has("operator", "ROUTER_OPERATOR") ? address("operator", "ROUTER_OPERATOR") : null;
         seed = seed();
         sockets = sockets();
         JsonValue given = json.get("settings");
@@ -109,8 +114,10 @@
         all.add(new Effective("name", name, origin("name", "ROUTER_NAME")));
         all.add(new Effective("listen", text(listen), origin("listen", "ROUTER_LISTEN")));
         all.add(new Effective("discovery", text(discovery), origin("discovery", "ROUTER_DISCOVERY")));
+        all.add(new Effective("operator", operator == null ? "none" : text(operator),
+                operator == null ? "default" : origin("operator", "ROUTER_OPERATOR")));
         all.add(new Effective("seed", Long.toHexString(seed), json.get("seed") == null ? "the clock" : "file"));
-        all.add(new Effective("limits.sockets", sockets + OWN_DESCRIPTORS, json.get("limits") != null
+        all.add(new Effective("limits.sockets", descriptors, json.get("limits") != null
                 && json.get("limits").asObject().get("sockets") != null ? "file" : "default"));
         all.add(new Effective("known", known == null ? "none" : known.entries().size() + " workers",
                 known == null ? "default" : "file"));
@@ -155,7 +162,7 @@
     /** The keys whose new values would need a new start; seed and list concern the start alone. */
     List<String> keysForNextStart(Config next) {
         List<String> keys = new ArrayList<>();
-        for (String key : new String[] {"name", "listen", "limits", "settings"}) {
+        for (String key : new String[] {"name", "listen", "operator", "limits", "settings"}) {
             if (!Objects.equals(json.get(key), next.json.get(key))) {
                 keys.add(key);
             }
@@ -172,6 +179,10 @@
         return text;
     }
 
+    private boolean has(String key, String variable) {
+        return json.get(key) != null || !environment.getOrDefault(variable, "").isEmpty();
+    }
+
     private InetSocketAddress address(String key, String variable) throws Faulty {
         try {
             return TargetList.address(text(key, variable));
@@ -198,11 +209,12 @@
         if (value != null && !value.isNumber()) {
             throw new Faulty("limits.sockets", "not a number");
         }
-        int descriptors = value == null ? DEFAULT_SOCKETS : (int) value.asDouble();
+        descriptors = value == null ? DEFAULT_SOCKETS : (int) value.asDouble();
+        int apart = OWN_DESCRIPTORS + (operator == null ? 0 : OperatorListener.PLACES);
         if (descriptors < 2 * OWN_DESCRIPTORS) {
             throw new Faulty("limits.sockets", "at least " + 2 * OWN_DESCRIPTORS + " are needed");
         }
-        return descriptors - OWN_DESCRIPTORS;
+        return descriptors - apart;
     }
 
     private static double positive(SettingsReader read, String key, double absent) {
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -1,9 +1,14 @@
 package postgrade.daemon;
 
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -22,24 +27,21 @@
 import postgrade.discovery.Watch;
 import postgrade.gateway.Gateway;
 import postgrade.http.SocketBudget;
+import postgrade.lifecycle.Lifecycle;
 import postgrade.log.Events;
+import postgrade.operator.OperatorListener;
+import postgrade.operator.Operations;
 import postgrade.provider.ProviderPools;
 import postgrade.provider.Target;
+import postgrade.roster.Roster;
 
 /** One dispatcher: puts the parts together, passes the list on, and stops in order. */
 final class Daemon {
 
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
     private static final long NANOS = 1_000;
-    /** What comes up to so long after SIGTERM may be left to SIGKILL; what comes later may not. */
-    private static final long TAKEN_MICROS = 700_000;
-    /** SIGKILL follows the longest deadline, or this if that is longer, and {@link #TAKEN_MICROS} at the earliest. */
-    private static final long MOST_GRACE_MICROS = 3_000_000;
-    /** So long before SIGKILL consumers are turned away, and then answered whatever their jobs have come to. */
-    private static final long LEAVE_MICROS = 1_400_000;
-    private static final long CONCLUDE_MICROS = 300_000;
     static final long STOP_CHECK_MICROS = 20_000;
-    private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final Config config;
     private final Loop loop;
@@ -48,7 +50,13 @@
     private final Listener listener;
     private final Watch watch;
     private final Thread thread;
-    private long stopFromMicros;
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Roster roster = new Roster();
+    /** What discovery has last said of each provider. */
+    private final Map<String, Entry> told = new LinkedHashMap<>();
+    private final OperatorListener operators;
+    /** A check of what the lifecycle asks for is due. */
+    private boolean checking;
 
     Daemon(Config config) throws IOException {
         this(config, actions -> new Decide(config.settings, config.seed, actions), Watch.SILENT_MICROS);
@@ -67,10 +75,13 @@
         }
         Set<String> tenants = config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
         listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0,
-                gateway, loop, loop);
+                lifecycle, gateway, loop, loop);
         long version = config.known == null ? 0 : config.known.version();
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
                 list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
+        operators = config.operator == null ? null
+                : new OperatorListener(config.operator, this::call, loop, loop);
+        lifecycle.started();
         thread = new Thread(null, this::run, "loop");
         Events.info(LOG, "daemon.listening").addKeyValue("name", config.name).addKeyValue("address", config.listen)
                 .addKeyValue("providers", providers.readyCount())
@@ -82,6 +93,11 @@
         return listener.port();
     }
 
+    /** The port where operators call. */
+    int operatorPort() throws IOException {
+        return operators.port();
+    }
+
     void start() {
         thread.start();
     }
@@ -111,8 +127,12 @@
         list.warnOfFaulty();
         List<Target> targets = new ArrayList<>();
         List<Worker> workers = new ArrayList<>();
+        if (form != ListForm.CHANGES) {
+            told.clear();
+        }
         for (Entry e : list.entries()) {
-            targets.add(new Target(e.id(), e.address(), e.state() == State.READY));
+            told.put(e.id(), e);
+            targets.add(new Target(e.id(), e.address(), e.state() == State.READY && !roster.isOut(e.id())));
             Phase phase = switch (e.state()) {
                 case READY -> Phase.READY;
                 case DRAINING -> Phase.DRAINING;
@@ -122,7 +142,92 @@
             workers.add(new Worker(e.id(), e.zone(), e.kind(), e.cell(), phase, e.weight(), born * NANOS));
         }
         providers.list(form != ListForm.CHANGES, targets);
-        gateway.list(form, workers);
+        told.values().removeIf(e -> e.state() == State.GONE);
+        gateway.list(form, roster.list(form != ListForm.CHANGES, workers));
+    }
+
+    // ---- What operators ask for.
+
+    private void call(Operations.Call call, String id, Operations.Reply reply) {
+        switch (call) {
+            case STATUS -> {
+                if (lifecycle.ready() && providers.readyCount() > 0) {
+                    reply.yes(status());
+                } else {
+                    reply.no(Operations.No.NOT_NOW, status());
+                }
+            }
+            case ENTER, EXIT -> {
+                if (!roster.knows(id)) {
+                    reply.no(Operations.No.UNKNOWN, "no worker " + id + " is known here");
+                } else if (call == Operations.Call.ENTER) {
+                    takeOut(id);
+                    reply.yes("worker " + id + " is out and gets no new work");
+                } else {
+                    reply.yes(putBack(id) ? "worker " + id + " may serve again" : "worker " + id + " was not out");
+                }
+            }
+            case STANDBY -> {
+                standby();
+                reply.yes("draining: no longer ready");
+            }
+            default -> {
+                if (active()) {
+                    reply.yes("taking clients");
+                } else {
+                    reply.no(Operations.No.NOT_NOW, "this process is stopping and takes no clients any more");
+                }
+            }
+        }
+    }
+
+    private String status() {
+        JsonArray out = Json.array();
+        roster.out().forEach(out::add);
+        return Json.object().add("state", lifecycle.state().word()).add("workers", providers.readyCount())
+                .add("out", out).toString();
+    }
+
+    private void takeOut(String id) {
+        if (roster.takeOut(loop.nowMicros() * NANOS, id)) {
+            Events.info(LOG, "worker.out").addKeyValue("provider", id)
+                    .log("provider " + id + " taken out by an operator");
+            recount(id);
+        }
+    }
+
+    private boolean putBack(String id) {
+        if (!roster.putBack(loop.nowMicros() * NANOS, id)) {
+            return false;
+        }
+        Events.info(LOG, "worker.back").addKeyValue("provider", id).log("provider " + id + " put back by an operator");
+        recount(id);
+        gateway.recalled(id);
+        return true;
+    }
+
+    /** Both sides hear of one worker as it counts now. The pools refuse it from now on, before anyone is answered. */
+    private void recount(String id) {
+        Worker w = roster.worker(id);
+        if (w != null) {
+            providers.list(false, List.of(new Target(id, told.get(id).address(), w.phase() == Phase.READY)));
+            gateway.list(ListForm.CHANGES, List.of(w));
+        }
+    }
+
+    private void standby() {
+        if (lifecycle.state() != Lifecycle.State.STANDBY) {
+            lifecycle.standby(loop.nowMicros());
+            Events.info(LOG, "daemon.standby").log("standby: no longer ready, turning consumers away");
+            check();
+        }
+    }
+
+    private boolean active() {
+        if (lifecycle.state() == Lifecycle.State.STANDBY) {
+            Events.info(LOG, "daemon.active").log("active: taking consumers again");
+        }
+        return lifecycle.active();
     }
 
     /**
@@ -148,11 +253,11 @@
     void stop() {
         loop.ask(() -> {
             Events.info(LOG, "daemon.stopping").log("stopping: no longer ready, serving on");
-            stopFromMicros = loop.nowMicros();
-            listener.beginStop();
             // Guards the consumers who hold a connection: while it is open they go on using it, and until SIGKILL
             // is near they are served as well here as anywhere. All of us may be restarting in turn.
-            loop.at(killMicros() - LEAVE_MICROS, this::finish);
+            lifecycle.stop(loop.nowMicros(), config.deadlineMicros.values().stream().mapToLong(d -> d).max()
+                    .orElse(Long.MAX_VALUE), false);
+            check();
         });
         try {
             // Guards against an exit in mid-answer: the virtual machine ends once its shutdown hooks have returned.
@@ -162,24 +267,29 @@
         }
     }
 
-    private long killMicros() {
-        long longest = config.deadlineMicros.values().stream().mapToLong(d -> d).max().orElse(MOST_GRACE_MICROS);
-        return stopFromMicros + Math.min(longest, MOST_GRACE_MICROS) + TAKEN_MICROS;
+    /** Does what standby and the end ask for, again and again while either lasts. */
+    private void check() {
+        if (!checking) {
+            checking = true;
+            loop.at(loop.nowMicros() + STOP_CHECK_MICROS, this::checked);
+        }
     }
 
-    private void finish() {
-        listener.leave();
-        if (loop.nowMicros() >= killMicros() - CONCLUDE_MICROS) {
+    private void checked() {
+        checking = false;
+        long now = loop.nowMicros();
+        OptionalLong late = lifecycle.concludesSince(now);
+        if (late.isPresent()) {
             // Guards the one answer: what SIGKILL finds unanswered of these is lost.
-            gateway.concludeSince(stopFromMicros + TAKEN_MICROS);
+            gateway.concludeSince(late.getAsLong());
         }
-        if (gateway.idle() && providers.quiet() && listener.quiet()) {
-            long millis = (loop.nowMicros() - stopFromMicros) / (MICROS_PER_SECOND / 1000);
+        if (lifecycle.mayEnd(now) && gateway.idle() && providers.quiet() && listener.quiet()) {
+            long millis = lifecycle.stoppingForMicros(now) / MICROS_PER_MILLI;
             Events.info(LOG, "daemon.stopped").addKeyValue("ms", millis)
                     .log("stopped after " + millis + " ms, all answered");
             loop.stop();
-        } else {
-            loop.at(loop.nowMicros() + STOP_CHECK_MICROS, this::finish);
+        } else if (lifecycle.state() != Lifecycle.State.ACTIVE) {
+            check();
         }
     }
 }
--- a/daemon/src/main/java/postgrade/http/Connection.java
+++ b/daemon/src/main/java/postgrade/http/Connection.java
@@ -49,7 +49,13 @@
 
     /** Wraps an accepted channel, whose place in the budget is taken already. */
     public static Connection accepted(Reactor reactor, SocketChannel channel, Owner owner) throws IOException {
-        Connection c = new Connection(reactor, channel, owner, false);
+        return accepted(reactor, channel, owner, false);
+    }
+
+    /** @param urgent served first in a turn */
+    public static Connection accepted(Reactor reactor, SocketChannel channel, Owner owner, boolean urgent)
+            throws IOException {
+        Connection c = new Connection(reactor, channel, owner, urgent);
         c.begin(SelectionKey.OP_READ);
         return c;
     }
--- /dev/null
+++ b/daemon/src/main/java/postgrade/operator/OperatorConnection.java
@@ -0,0 +1,136 @@
+package postgrade.operator;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonValue;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import postgrade.gateway.Timers;
+import postgrade.http.BadMessage;
+import postgrade.http.Connection;
+import postgrade.http.Message;
+import postgrade.http.MessageParser;
+import postgrade.http.MessageWriter;
+import postgrade.operator.Operations.Call;
+import postgrade.operator.Operations.No;
+
+/** One connection of an operator's, for one call. */
+final class OperatorConnection implements Connection.Owner, Operations.Reply {
+
+    /** So long a caller may take over its call, or over the answer and the end of the connection. */
+    private static final long PATIENCE_MICROS = 5_000_000;
+    private static final Map<String, Call> CALLS = Map.of("/status", Call.STATUS, "/maintenance/enter", Call.ENTER,
+            "/maintenance/exit", Call.EXIT, "/standby", Call.STANDBY, "/active", Call.ACTIVE);
+
+    private final OperatorListener listener;
+    private final Connection connection;
+    private final MessageParser parser = MessageParser.ofRequests();
+    private final Timers.Timer end;
+    private boolean asked;
+
+    OperatorConnection(OperatorListener listener, SocketChannel channel) throws IOException {
+        this.listener = listener;
+        connection = Connection.accepted(listener, channel, this, true);
+        connection.idle(true, true);
+        end = listener.timers.at(listener.timers.nowMicros() + PATIENCE_MICROS, this::expire);
+    }
+
+    @Override
+    public void received(Connection c, ByteBuffer bytes) throws BadMessage {
+        if (asked) {
+            return; // One call a connection: what follows is not read as another.
+        }
+        Message call = parser.parse(bytes);
+        if (call != null) {
+            asked = true;
+            connection.idle(false, false);
+            take(call);
+        } else if (parser.takeExpectation()) {
+            connection.write(MessageWriter.response(100).noBody());
+        }
+    }
+
+    private void take(Message message) {
+        String path = message.target().split("\\?", 2)[0];
+        Call call = CALLS.get(path);
+        if (call == null) {
+            answer(404, null, "there is no call " + path);
+            return;
+        }
+        String method = call == Call.STATUS ? "GET" : "PUT";
+        if (!message.method().equals(method)) {
+            answer(405, method, path + " is called by " + method + ", not " + message.method());
+            return;
+        }
+        String id = null;
+        if (call == Call.ENTER || call == Call.EXIT) {
+            try {
+                id = id(message.body());
+            } catch (IllegalArgumentException e) {
+                answer(400, null, e.getMessage());
+                return;
+            }
+        }
+        listener.operations.call(call, id, this);
+    }
+
+    private static String id(byte[] body) {
+        JsonValue json;
+        try {
+            json = Json.parse(new String(body, StandardCharsets.UTF_8));
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("the body is not JSON: " + e.getMessage(), e);
+        }
+        JsonValue id = json.isObject() ? json.asObject().get("id") : null;
+        if (id == null || !id.isString() || id.asString().isEmpty()) {
+            throw new IllegalArgumentException("the body has to be an object with the worker's id as a string: "
+                    + "{\"id\":\"ID\"}");
+        }
+        return id.asString();
+    }
+
+    @Override
+    public void yes(String text) {
+        answer(200, null, text);
+    }
+
+    @Override
+    public void no(No why, String text) {
+        answer(why == No.UNKNOWN ? 404 : 503, null, text);
+    }
+
+    private void answer(int status, String allow, String text) {
+        asked = true;
+        connection.idle(false, false);
+        connection.write(MessageWriter.response(status).header("Allow", allow)
+                .header("Content-Type", text.startsWith("{") ? "application/json" : "text/plain; charset=utf-8")
+                .header("Connection", "close").body((text + "\n").getBytes(StandardCharsets.UTF_8)));
+        connection.closeWhenSent();
+        connection.idle(true, false); // It may go for another caller, after those who have not called.
+    }
+
+    private void expire() {
+        if (!asked) {
+            answer(408, null, "no whole call has come");
+            listener.timers.at(listener.timers.nowMicros() + PATIENCE_MICROS, this::expire);
+        } else {
+            connection.close();
+            listener.closed();
+        }
+    }
+
+    @Override
+    public void bad(Connection c, BadMessage e) {
+        if (!asked) {
+            answer(e.status(), null, e.getMessage());
+        }
+    }
+
+    @Override
+    public void closed(Connection c) {
+        end.cancel();
+        listener.closed();
+    }
+}
