--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -504,6 +504,28 @@
         assertEquals(1, out.count("send"));
     }
 
+    /** Cold it looks worse than all others, and a worker put back by an operator was left unused. */
+    @Test
+    void workerPutBackIsForgivenAndTriedByTheNextRepeatableJobWithinItsColdBudget() {
+        Decide d = gatewaysWithColdWorker(1, 0).get(0);
+        d.list(50 * SECOND, ListForm.FULL,
+                List.of(worker("s1", Phase.READY, 0), worker("s2", Phase.READY, 50 * SECOND)));
+        for (int i = 0; i < 40; i++) {
+            String id = job(d, 50 * SECOND + i, "safe");
+            Outcome end = out.sentTo(id).equals("s2") ? Outcome.ERROR : Outcome.SERVED;
+            d.finished(50 * SECOND + i, id, 0, end, true, FREE);
+        }
+        d.list(60 * SECOND, ListForm.CHANGES, List.of(worker("s2", Phase.READY, 60 * SECOND)));
+        d.recalled(60 * SECOND, "s2");
+        assertEquals("s1", out.sentTo(job(d, 60 * SECOND, "unsafe")));
+        assertEquals("s2", out.sentTo(job(d, 60 * SECOND, "safe")));
+        long before = out.count("send");
+        for (int i = 0; i < 5; i++) {
+            job(d, 60 * SECOND, "safe");
+        }
+        assertTrue(out.said.stream().filter(l -> l.startsWith("send")).skip(before).anyMatch(l -> l.endsWith("s1")));
+    }
+
     // ---- Failures found.
 
     /** Incident i3632c1: a full worker holds few of ours, so fewest in flight fed it. */
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/OperatorTest.java
@@ -0,0 +1,157 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.Before;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** What operators call for, and what the dispatcher does then. */
+public class OperatorTest extends Stage {
+
+    @Before
+    public void withOperators() {
+        operators = true;
+    }
+
+    private Socket operator() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), daemon.operatorPort());
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        return s;
+    }
+
+    private Arrived call(String line, String body) throws IOException {
+        Socket s = operator();
+        Peer.write(s, line + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        Arrived answer = Peer.read(s);
+        assertEquals("one call a connection", -1, s.getInputStream().read());
+        return answer;
+    }
+
+    private int out(String id) throws IOException {
+        return call("PUT /maintenance/enter", "{\"id\":\"" + id + "\"}").status();
+    }
+
+    private int back(String id) throws IOException {
+        return call("PUT /maintenance/exit", "{\"id\":\"" + id + "\"}").status();
+    }
+
+    private static void refused(Arrived answer, int status, String text) {
+        assertEquals(answer.body(), status, answer.status());
+        assertTrue(answer.body(), answer.body().contains(text));
+    }
+
+    @Test
+    public void aNoSaysWhatWasWrongAndChangesNothing() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        refused(call("GET /nowhere", ""), 404, "no call /nowhere");
+        Arrived wrong = call("POST /standby", "");
+        refused(wrong, 405, "PUT, not POST");
+        assertEquals("PUT", wrong.header("Allow"));
+        refused(call("PUT /maintenance/enter", "{\"id\":"), 400, "not JSON");
+        refused(call("PUT /maintenance/enter", "{\"name\":\"w1\"}"), 400, "id as a string");
+        refused(call("PUT /maintenance/enter", "{\"id\":7}"), 400, "id as a string");
+        refused(call("PUT /maintenance/exit", "[]"), 400, "id as a string");
+        refused(call("PUT /maintenance/enter", "{\"id\":\"w9\"}"), 404, "no worker w9");
+        refused(call("nonsense", ""), 400, "start line");
+        Arrived status = call("GET /status", "");
+        assertEquals(200, status.status());
+        assertEquals("{\"state\":\"active\",\"workers\":1,\"out\":[]}\n", status.body());
+        assertEquals(200, ready());
+    }
+
+    @Test
+    public void aWorkerTakenOutGetsNothingWhateverIsListedUntilItIsPutBackAndThenIsTried() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
+        assertEquals(200, out("w1"));
+        assertEquals(200, out("w1"));
+        script.hears("list CHANGES [w1 DRAINING]");
+        Arrived watch = discovery.next("GET /api/targets?watch=1&from=41 ");
+        Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(watch, json(42, false, server("w1", one.address(), "gone")));
+        script.hears("list CHANGES [w1 GONE]");
+        chunk(watch, json(43, true, server("w1", one.address(), "ready"), server("w2", two.address(), "ready")));
+        script.hears("list FULL [w1 DRAINING, w2 READY]");
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        post("m1", "price", "15000m");
+        script.hears("job m1");
+        script.hears("finished m1 0 NOT_SENT false");
+        assertTrue(call("GET /status", "").body().contains("\"out\":[\"w1\"]"));
+        assertEquals(200, back("w1"));
+        script.hears("list CHANGES [w1 READY]");
+        script.hears("recalled w1");
+        assertEquals("not out, and no harm", 200, back("w1"));
+        post("m2", "price", "15000m");
+        one.next("POST").accept();
+    }
+
+    @Test
+    public void callersWhoSitThereWithNothingOrHalfACallKeepNobodyWaiting() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket first = operator();
+        for (int i = 0; i < 40; i++) {
+            Peer.write(operator(), i % 2 == 0 ? "" : "PUT /standby HTTP/1.1\r\nContent-Le");
+        }
+        assertEquals(200, call("GET /status", "").status());
+        assertEquals("who came first goes first", -1, first.getInputStream().read());
+        assertEquals(200, ready());
+    }
+
+    @Test
+    public void inStandbyConsumersAreTurnedAwayCallBacksAreTakenAndActiveTakesConsumersAgain() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket idle = post("d1", "price", "15000m");
+        one.next("POST").accept();
+        callBack("d1", "w1", "done");
+        Arrived kept = Peer.read(idle);
+        assertNull(kept.header("Connection"));
+        Socket busy = post("d2", "confirm", "15000m");
+        one.next("POST").accept();
+        assertEquals(200, call("PUT /standby", "").status());
+        assertEquals(503, ready());
+        assertEquals(503, call("GET /status", "").status());
+        Socket late = post("d3", "price", "15000m"); // The front does not know yet.
+        one.next("POST").accept();
+        assertEquals("closed, as nobody may be held idle", -1, idle.getInputStream().read());
+        assertEquals(200, call("PUT /standby", "").status());
+        assertEquals(204, callBack("d2", "w1", "done"));
+        assertEquals(204, callBack("d3", "w1", "done"));
+        Arrived answer = Peer.read(late);
+        assertEquals(200, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        assertEquals("close", Peer.read(busy).header("Connection"));
+        assertEquals(200, call("PUT /active", "").status());
+        assertEquals(200, ready());
+        assertEquals(200, call("GET /status", "").status());
+        Socket again = post("d4", "price", "15000m");
+        one.next("POST").accept();
+        callBack("d4", "w1", "done");
+        assertNull(Peer.read(again).header("Connection"));
+    }
+
+    @Test
+    public void aStopInStandbyEndsTheProcessAndNoCallUndoesIt() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        Socket open = post("e1", "price", "15000m");
+        one.next("POST").accept();
+        assertEquals(200, call("PUT /standby", "").status());
+        Thread stop = new Thread(daemon::stop);
+        stop.start();
+        while (!call("GET /status", "").body().contains("stopping")) {
+            Thread.onSpinWait();
+        }
+        refused(call("PUT /active", ""), 503, "stopping");
+        callBack("e1", "w1", "done");
+        assertEquals(200, Peer.read(open).status());
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse(stop.isAlive());
+    }
+}
--- a/daemon/src/test/java/postgrade/daemon/Script.java
+++ b/daemon/src/test/java/postgrade/daemon/Script.java
@@ -31,6 +31,11 @@
         heard.add("list " + form + " " + workers.stream().map(w -> w.id() + " " + w.phase()).toList());
     }
 
+    @Override
+    public void recalled(long nowNs, String workerId) {
+        heard.add("recalled " + workerId);
+    }
+
     @Override
     public void job(long nowNs, Job job) {
         heard.add("job " + job.id());
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/Stage.java
@@ -0,0 +1,145 @@
+package postgrade.daemon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.rules.TemporaryFolder;
+import postgrade.daemon.Peer.Arrived;
+
+/** The stage of the stories: a daemon on loopback between scripted consumers, providers and discovery. */
+public abstract class Stage {
+
+    static final long SILENT_MICROS = 500_000;
+    static final String SETTINGS = "'balancers':1,'classes':["
+            + "{'name':'price','idempotency':'read_like','onTimeNs':200000000,'deadlineNs':20000000000},"
+            + "{'name':'confirm','idempotency':'non_idempotent','onTimeNs':200000000,'deadlineNs':20000000000}],"
+            + "'limits':{'cancel':true,'maxAttempts':4,'mayDuplicate':false,'mostHeld':HELD,"
+            + "'connIdleNs':IDLE,'connectTimeoutNs':15000000000,'retryAfter':false,'maxRetryAfterNs':2000000000},"
+            + "'specifics':{'tellsStart':true}";
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    Peer discovery;
+    Peer one;
+    Peer two;
+    Daemon daemon;
+    Script script;
+    final List<Socket> sockets = new ArrayList<>();
+    int held = 100;
+    long idleNs = 10_000_000_000L;
+    int descriptors = 1024;
+    boolean operators;
+
+    @Before
+    public void begin() throws IOException {
+        discovery = new Peer();
+        one = new Peer();
+        two = new Peer();
+    }
+
+    @After
+    public void end() throws IOException {
+        for (Socket s : sockets) {
+            s.close();
+        }
+        for (Peer p : List.of(discovery, one, two)) {
+            p.close();
+        }
+    }
+
+    // ---- Setting the stage.
+
+    static String server(String id, String address, String state) {
+        return "{'id':'" + id + "','addr':'" + address + "','zone':'a','kind':'m','cell':0,'state':'" + state
+                + "','weight':1.0,'started_ms':0}";
+    }
+
+    static String json(long version, boolean full, String... servers) {
+        return ("{'version':" + version + ",'full':" + full + ",'servers':[" + String.join(",", servers) + "]}")
+                .replace('\'', '"');
+    }
+
+    Map<String, String> configuration(String... servers) throws IOException {
+        Path file = folder.newFile().toPath();
+        Files.writeString(file, ("{'name':'n1','listen':'127.0.0.1:0','discovery':'" + discovery.address()
+                + (operators ? "','operator':'127.0.0.1:0" : "") + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + descriptors + "},'settings':{"
+                + SETTINGS.replace("HELD", "" + held).replace("IDLE", "" + idleNs) + "},'known':").replace('\'', '"')
+                + json(41, true, servers) + "}");
+        return Map.of("ROUTER_CONFIG", file.toString());
+    }
+
+    void serve(String... servers) throws Exception {
+        daemon = new Daemon(Config.read(configuration(servers)));
+        daemon.start();
+    }
+
+    /** With a module that does what the test says. */
+    void serveScripted(String... servers) throws Exception {
+        daemon = new Daemon(Config.read(configuration(servers)), out -> script = new Script(out), SILENT_MICROS);
+        daemon.start();
+        script.heard.take(); // The stored list.
+    }
+
+    Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), daemon.port());
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        return s;
+    }
+
+    Socket post(String id, String jobClass, String deadline) throws IOException {
+        Socket s = connect();
+        post(s, id, jobClass, deadline);
+        return s;
+    }
+
+    static void post(Socket s, String id, String jobClass, String deadline) {
+        Peer.write(s, "POST /api?a=b HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: " + id + "\r\nX-Class: "
+                + jobClass + "\r\nX-Deadline: " + deadline + "\r\nContent-Length: 3\r\n\r\njob");
+    }
+
+    Arrived exchange(String text) throws IOException {
+        Socket s = connect();
+        Peer.write(s, text);
+        return Peer.read(s);
+    }
+
+    int ready() throws IOException {
+        return exchange("GET /-/ready HTTP/1.1\r\n\r\n").status();
+    }
+
+    int callBack(String body) throws IOException {
+        String head = "POST /v1/job-events HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n";
+        return exchange(head + body).status();
+    }
+
+    int callBack(String id, String from, String state) throws IOException {
+        return callBack("{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":\"" + state
+                + "\",\"result\":\"made by " + from + "\"}");
+    }
+
+    void watched(String line) throws InterruptedException {
+        Arrived watch = discovery.next("GET /api/targets?watch=1&from=41 ");
+        Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(watch, line);
+    }
+
+    static void chunk(Arrived watch, String line) {
+        Peer.write(watch.socket(), Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    static Process program(Map<String, String> environment) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "postgrade.daemon.Main", "serve");
+        b.environment().putAll(environment);
+        return b.start();
+    }
+}
