Upgrade beside the running process: shared address, a link, and a handover

The clients' address is bound with SO_REUSEPORT (a start without a peer still refuses an address in use). Processes of one dispatcher are linked over a Unix-domain socket in TMPDIR: the new one takes over the list, workers out and standby before it listens; call-backs of the other's jobs and operators' calls are passed on, answered once the other has them. On SIGTERM with a successor the queue is accepted to its end and the socket closed. Descriptors are halved while both live.

--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -117,12 +117,15 @@
         }
     }
 
-    /** A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over. */
-    public void report(String id, String from, JobState state, double share, byte[] result) {
+    /**
+     * A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over.
+     * False if the job is not known here.
+     */
+    public boolean report(String id, String from, JobState state, double share, byte[] result) {
         Invocation in = open.get(id);
         InvokerCall call = in == null ? null : callOutAt(in, from);
         if (call == null) {
-            return;
+            return in != null;
         }
         switch (state) {
             case STARTED -> tell(in, now -> module.started(now, id, call.number));
@@ -138,6 +141,7 @@
                 }
             }
         }
+        return true;
     }
 
     private static InvokerCall callOutAt(Invocation in, String providerId) {
--- a/core/src/main/java/postgrade/roster/Roster.java
+++ b/core/src/main/java/postgrade/roster/Roster.java
@@ -27,10 +27,16 @@
     private final Set<String> seen = new HashSet<>();
     /** Since when each is out; and for those put back, when they were out and back. */
     private final Map<String, Long> outNs = new TreeMap<>();
-    private final Map<String, Back> back = new HashMap<>();
+    private final Map<String, Record> back = new HashMap<>();
 
-    /** One that was out: any start the list tells after {@code outNs} is true, else {@code backNs} stands for it. */
-    public record Back(String id, long outNs, long backNs) { }
+    /** {@link Record#backNs} of one that is out. */
+    public static final long STILL_OUT = Long.MAX_VALUE;
+
+    /**
+     * What operators have said of a worker: since when it was out, and when it came back. Any start that the list tells
+     * after {@code outNs} is true, else {@code backNs} stands for it.
+     */
+    public record Record(String id, long outNs, long backNs) { }
 
     /** Takes in what discovery says and returns how it counts. */
     public List<Worker> list(boolean whole, Collection<Worker> workers) {
@@ -54,7 +60,7 @@
 
     private Worker counted(Worker w) {
         Phase phase = w.phase() == Phase.READY && outNs.containsKey(w.id()) ? Phase.DRAINING : w.phase();
-        Back was = back.get(w.id());
+        Record was = back.get(w.id());
         long born = was == null || w.bornNs() > was.outNs ? w.bornNs() : was.backNs;
         return new Worker(w.id(), w.zone(), w.kind(), w.cell(), phase, w.weight(), born);
     }
@@ -68,6 +74,14 @@
         return List.copyOf(outNs.keySet());
     }
 
+    /** All that operators have said, for another process of this dispatcher. */
+    public List<Record> records() {
+        List<Record> all = new ArrayList<>();
+        outNs.forEach((id, since) -> all.add(new Record(id, since, STILL_OUT)));
+        back.values().forEach(b -> all.add(new Record(b.id(), b.outNs(), b.backNs())));
+        return all;
+    }
+
     /** The list has named it at some time. */
     public boolean knows(String id) {
         return seen.contains(id) || outNs.containsKey(id);
@@ -91,7 +105,7 @@
         if (since == null) {
             return false;
         }
-        back.put(id, new Back(id, since, nowNs));
+        back.put(id, new Record(id, since, nowNs));
         return true;
     }
 }
--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -143,19 +143,32 @@
             useful++;
             boolean ready = listener.readyToServe();
             answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", request.keepsAlive());
-        } else if (path.equals(JobEvents.PATH) && request.method().equals("POST")) {
-            String error = JobEvents.take(request.body(), listener.gateway);
-            useful += error == null ? 1 : 0;
-            if (error == null) {
-                answer(204, "", request.keepsAlive());
-            } else {
-                turnAway(400, error, request.keepsAlive());
-            }
+        } else if (path.equals(JobEvent.PATH) && request.method().equals("POST")) {
+            callBack(request);
         } else {
             turnAway(404, "no such page", request.keepsAlive());
         }
     }
 
+    /** A provider takes an answer for the end of its duty: it leaves only once whoever holds the job has the news. */
+    private void callBack(Message request) {
+        JobEvent event;
+        try {
+            event = JobEvent.of(request.body());
+        } catch (IllegalArgumentException e) {
+            turnAway(400, e.getMessage(), request.keepsAlive());
+            return;
+        }
+        useful++;
+        if (event.tell(listener.gateway) || !listener.relay.any()) {
+            answer(204, "", request.keepsAlive());
+            return;
+        }
+        Exchange waits = new Exchange(request.keepsAlive());
+        exchange = waits;
+        listener.relay.callBack(request.body(), waits::relayed);
+    }
+
     private void invoke(Message request) {
         String jobClass = request.header("x-class");
         String id = request.header("x-request-id");
@@ -297,7 +310,9 @@
         if (exchange != null) {
             Exchange left = exchange;
             exchange = null;
-            listener.gateway.abandon(left.invocation);
+            if (left.invocation != null) {
+                listener.gateway.abandon(left.invocation);
+            }
         }
     }
 
@@ -328,6 +343,16 @@
             answer(timedOut ? 504 : 502, NONE, null);
         }
 
+        /** Unanswered the provider repeats it, and finds the process that has the job. */
+        void relayed(boolean heard) {
+            if (heard) {
+                answer(204, NONE, null);
+            } else if (exchange == this) {
+                connection.close();
+                closed(connection);
+            }
+        }
+
         private void answer(int status, byte[] body, String retryAfter) {
             if (exchange != this) {
                 return; // The consumer has left.
--- a/daemon/src/main/java/postgrade/consumer/JobEvents.java
+++ b/daemon/src/main/java/postgrade/consumer/JobEvent.java
@@ -8,39 +8,26 @@
 import postgrade.gateway.Gateway;
 import postgrade.gateway.JobState;
 
-/** The call-backs by which providers tell the fate of jobs they have taken. */
-final class JobEvents {
+/** A call-back by which a provider tells the fate of a job it has taken. */
+record JobEvent(String id, String from, JobState state, double share, byte[] result) {
 
     static final String PATH = "/v1/job-events";
 
-    private JobEvents() { }
-
-    /**
-     * Passes one call-back on. Returns null, or what is wrong with it. One of an unknown job, or of a state we do
-     * not know, is right: it would be repeated for nothing.
-     */
-    static String take(byte[] body, Gateway gateway) {
-        String id;
-        String from;
-        String state;
-        double share;
-        JsonValue result;
+    /** Reads one; an exception says what is wrong with it. A state we do not know is null, and right. */
+    static JobEvent of(byte[] body) {
         try {
             JsonObject event = Json.parse(new String(body, StandardCharsets.UTF_8)).asObject();
-            id = event.get("id").asString();
-            from = event.get("from").asString();
-            state = event.get("state").asString();
-            share = event.getDouble("share", 0);
-            result = event.get("result");
+            return new JobEvent(event.get("id").asString(), event.get("from").asString(),
+                    state(event.get("state").asString()), event.getDouble("share", 0), bytes(event.get("result")));
         } catch (RuntimeException e) {
             // Guards against call-backs that are not JSON or lack a field: told to the sender, never a crash.
-            return "not a job event: id, from and state are needed";
-        }
-        JobState known = state(state);
-        if (known != null) {
-            gateway.report(id, from, known, share, bytes(result));
+            throw new IllegalArgumentException("not a job event: id, from and state are needed", e);
         }
-        return null;
+    }
+
+    /** Passes it on. False if its job is not known here; it would be repeated for nothing if that were an error. */
+    boolean tell(Gateway gateway) {
+        return state == null || gateway.report(id, from, state, share, result);
     }
 
     private static JobState state(String name) {
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -42,8 +42,11 @@
     private final BooleanSupplier able;
     private final Lifecycle lifecycle;
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
-    private final ServerSocketChannel channel;
-    private final SelectionKey key;
+    private final InetSocketAddress address;
+    final Relay relay;
+    /** Null while nothing is accepted here. */
+    private ServerSocketChannel channel;
+    private SelectionKey key;
     private long bytesHeld;
     private boolean paused;
     /** Since when every place has been taken, 0 if there are places; and whether the log says so. */
@@ -53,10 +56,11 @@
     /**
      * @param tenants who may submit jobs; empty where there are none
      * @param able whether an invocation could be served now
+     * @param relay to the other processes of this dispatcher
      * @param lifecycle decides readiness and when connections end
      */
     public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, Set<String> tenants,
-            BooleanSupplier able, Lifecycle lifecycle, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
+            BooleanSupplier able, Lifecycle lifecycle, Relay relay, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
         this.reactor = reactor;
         this.timers = timers;
         this.gateway = gateway;
@@ -64,17 +68,62 @@
         this.tenants = tenants;
         this.able = able;
         this.lifecycle = lifecycle;
-        channel = ServerSocketChannel.open();
-        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        channel.bind(address, BACKLOG);
-        channel.configureBlocking(false);
-        key = reactor.register(channel, SelectionKey.OP_ACCEPT, this);
+        this.relay = relay;
+        listen(address);
+        this.address = (InetSocketAddress) channel.getLocalAddress();
         sweep();
     }
 
+    /**
+     * Throws where any other program listens at the address already. Guards against a second dispatcher that is started
+     * by mistake: with SO_REUSEPORT the two would share the consumers and lose each other's call-backs.
+     */
+    public static void requireFree(InetSocketAddress address) throws IOException {
+        if (address.getPort() != 0) {
+            try (SocketChannel probe = SocketChannel.open()) {
+                probe.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                probe.bind(address);
+            }
+        }
+    }
+
+    private void listen(InetSocketAddress at) throws IOException {
+        channel = ServerSocketChannel.open();
+        try {
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                // From the first start on, or a new version could not listen beside this one.
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            channel.bind(at, BACKLOG);
+            channel.configureBlocking(false);
+            key = reactor.register(channel, SelectionKey.OP_ACCEPT, this);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Ends or begins to listen, as the lifecycle says. Guards the connections that wait: closing the socket resets them,
+     * so all are accepted first, and the socket goes in the same moment. What does not find a place keeps it open.
+     */
+    public void followLifecycle() {
+        try {
+            if (lifecycle.accepts() && channel == null) {
+                listen(address);
+            } else if (!lifecycle.accepts() && channel != null && acceptAll(Integer.MAX_VALUE)) {
+                channel.close();
+                channel = null;
+            }
+        } catch (IOException e) {
+            failed(e);
+        }
+    }
+
     /** The port listened on, which the system chose where the address gave 0. */
     public int port() throws IOException {
-        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+        return address.getPort();
     }
 
     @Override
@@ -84,7 +133,12 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        for (int i = 0; i < MOST_ACCEPTS; i++) {
+        acceptAll(MOST_ACCEPTS);
+    }
+
+    /** Accepts what waits. True if nothing is left. */
+    private boolean acceptAll(int most) throws IOException {
+        for (int i = 0; i < most; i++) {
             // Guards the connections that usual peers keep: those that have just come and may be of no use are
             // waited for, a moment, before one of the others has to go.
             boolean anyIdle = connections.stream().noneMatch(c -> c.fresh(timers.nowMicros()));
@@ -92,13 +146,13 @@
                 // Guards what waits in the backlog: it is left there, not accepted and closed, until there is a place.
                 pause(true);
                 shortMicros = shortMicros == 0 ? timers.nowMicros() : shortMicros;
-                return;
+                return false;
             }
             boolean kept = false;
             SocketChannel accepted = channel.accept();
             try {
                 if (accepted == null) {
-                    return;
+                    return true;
                 }
                 connections.add(new ConsumerConnection(this, accepted));
                 kept = true;
@@ -111,10 +165,11 @@
                 }
             }
         }
+        return false;
     }
 
     private void pause(boolean now) {
-        if (now != paused) {
+        if (now != paused && channel != null) {
             paused = now;
             key.interestOps(paused ? 0 : SelectionKey.OP_ACCEPT);
         }
@@ -160,6 +215,11 @@
         timers.at(timers.nowMicros() + SWEEP_MICROS, this::sweep);
     }
 
+    /** A call-back that came to another process of this dispatcher and was found right there. */
+    public void relayed(byte[] body) {
+        JobEvent.of(body).tell(gateway);
+    }
+
     boolean knowsTenant(String name) {
         return name == null || (tenants.isEmpty() ? Fields.isName(name) : tenants.contains(name));
     }
--- a/daemon/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -34,6 +34,7 @@
     private static final int DEFAULT_SOCKETS = 1024;
     /** For what the virtual machine itself holds, 11 by count: its files, the selector, the standard streams. */
     private static final int OWN_DESCRIPTORS = 32;
+    private static final int LEAST_SOCKETS = 16;
     private static final double DEFAULT_MOST_HELD = 20_000;
     private static final double DEFAULT_DEADLINE_NS = 30e9;
     private static final double DEFAULT_CONNECT_NS = 250e6;
@@ -45,6 +46,8 @@
     /** Where operators call, or null where nobody does. */
     final InetSocketAddress operator;
     final long seed;
+    /** A folder that all processes of this dispatcher share, or null. */
+    final Path shared;
     private int descriptors;
     /** Sockets of all peers together, the operators' apart. */
     final int sockets;
@@ -64,6 +67,8 @@
         this.environment = environment;
         this.json = json;
         name = text("name", "ROUTER_NAME");
+        String folder = environment.getOrDefault("TMPDIR", "");
+        shared = folder.isEmpty() ? null : Path.of(folder);
         listen = address("listen", "ROUTER_LISTEN");
         discovery = address("discovery", "ROUTER_DISCOVERY");
         operator = has("operator", "ROUTER_OPERATOR") ? address("operator", "ROUTER_OPERATOR") : null;
@@ -170,6 +175,11 @@
         return keys;
     }
 
+    /** Places for sockets where so many processes share the descriptors. */
+    int sockets(int processes) {
+        return Math.max(LEAST_SOCKETS, descriptors / processes - (descriptors - sockets));
+    }
+
     private String text(String key, String variable) throws Faulty {
         JsonValue value = json.get(key);
         String text = value != null && value.isString() ? value.asString() : environment.getOrDefault(variable, "");
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -21,6 +23,7 @@
 import postgrade.Dispatcher.Tenant;
 import postgrade.Dispatcher.Worker;
 import postgrade.consumer.Listener;
+import postgrade.consumer.Relay;
 import postgrade.discovery.TargetList;
 import postgrade.discovery.TargetList.Entry;
 import postgrade.discovery.TargetList.State;
@@ -34,6 +37,7 @@
 import postgrade.provider.ProviderPools;
 import postgrade.provider.Target;
 import postgrade.roster.Roster;
+import postgrade.upgrade.Upgrade;
 
 /** One dispatcher: puts the parts together, passes the list on, and stops in order. */
 final class Daemon {
@@ -55,6 +59,7 @@
     /** What discovery has last said of each provider. */
     private final Map<String, Entry> told = new LinkedHashMap<>();
     private final OperatorListener operators;
+    private final Upgrade upgrade;
     /** A check of what the lifecycle asks for is due. */
     private boolean checking;
 
@@ -70,18 +75,38 @@
                 (event, message, thrown) -> Events.error(LOG, event).setCause(thrown).log(message));
         providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
         gateway.connect(providers);
-        if (config.known != null) {
-            list(ListForm.STORED, config.known);
+        upgrade = new Upgrade(config.shared, config.name + " " + config.listen, loop, loop, new Link());
+        Takeover before = Takeover.of(upgrade.join());
+        TargetList known = before == null || before.list() == null ? config.known : before.list();
+        if (before != null) {
+            before.roster(roster, loop.nowMicros() * NANOS);
+        }
+        if (known != null) {
+            list(ListForm.STORED, known);
         }
         Set<String> tenants = config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
+        try {
+            if (!upgrade.hasPeers()) {
+                Listener.requireFree(config.listen);
+            }
+        } catch (IOException e) {
+            upgrade.close();
+            throw e;
+        }
         listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0,
-                lifecycle, gateway, loop, loop);
-        long version = config.known == null ? 0 : config.known.version();
+                lifecycle, relay(), gateway, loop, loop);
+        long version = known == null || before != null && !before.follows(config.discovery) ? 0 : known.version();
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
                 list -> list(list.whole() ? ListForm.FULL : ListForm.CHANGES, list));
         operators = config.operator == null ? null
                 : new OperatorListener(config.operator, this::call, loop, loop);
         lifecycle.started();
+        if (before != null && before.standbyAgeMicros() >= 0) {
+            lifecycle.standby(loop.nowMicros() - before.standbyAgeMicros());
+            check();
+        }
+        upgrade.serving();
+        peersChanged();
         thread = new Thread(null, this::run, "loop");
         Events.info(LOG, "daemon.listening").addKeyValue("name", config.name).addKeyValue("address", config.listen)
                 .addKeyValue("providers", providers.readyCount())
@@ -146,33 +171,76 @@
         gateway.list(form, roster.list(form != ListForm.CHANGES, workers));
     }
 
-    // ---- What operators ask for.
+    // ---- Other processes of this dispatcher.
 
-    private void call(Operations.Call call, String id, Operations.Reply reply) {
-        switch (call) {
-            case STATUS -> {
-                if (lifecycle.ready() && providers.readyCount() > 0) {
-                    reply.yes(status());
-                } else {
-                    reply.no(Operations.No.NOT_NOW, status());
-                }
+    private Relay relay() {
+        return new Relay() {
+            @Override
+            public boolean any() {
+                return upgrade.count() > 0;
             }
-            case ENTER, EXIT -> {
-                if (!roster.knows(id)) {
-                    reply.no(Operations.No.UNKNOWN, "no worker " + id + " is known here");
-                } else if (call == Operations.Call.ENTER) {
-                    takeOut(id);
-                    reply.yes("worker " + id + " is out and gets no new work");
-                } else {
-                    reply.yes(putBack(id) ? "worker " + id + " may serve again" : "worker " + id + " was not out");
-                }
+
+            @Override
+            public void callBack(byte[] body, Consumer<Boolean> done) {
+                upgrade.callBack(body, done);
             }
-            case STANDBY -> {
-                standby();
-                reply.yes("draining: no longer ready");
+        };
+    }
+
+    private void peersChanged() {
+        loop.sockets().limit(config.sockets(1 + upgrade.count()));
+        lifecycle.successor(upgrade.hasSuccessor());
+        listener.followLifecycle();
+    }
+
+    private final class Link implements Upgrade.Owner {
+        @Override
+        public JsonObject snapshot() {
+            return Takeover.snapshot(roster, loop.nowMicros() * NANOS, watch.version(), told.values(),
+                    watch.address(), lifecycle.standbyAgeMicros(loop.nowMicros()));
+        }
+
+        @Override
+        public void callBack(byte[] body) {
+            listener.relayed(body);
+        }
+
+        @Override
+        public void called(String call, String id) {
+            carryOut(Operations.Call.valueOf(call), id);
+        }
+
+        @Override
+        public void peersChanged() {
+            Daemon.this.peersChanged();
+        }
+    }
+
+    // ---- What operators ask for.
+
+    private void call(Operations.Call call, String id, Operations.Reply reply) {
+        if (call == Operations.Call.STATUS) {
+            if (lifecycle.takesClients() && providers.readyCount() > 0) {
+                reply.yes(status());
+            } else {
+                reply.no(Operations.No.NOT_NOW, status());
             }
+        } else if (id != null && !roster.knows(id)) {
+            reply.no(Operations.No.UNKNOWN, "no worker " + id + " is known here");
+        } else {
+            boolean done = carryOut(call, id);
+            // The others of this dispatcher have it too before the yes leaves, or will never have a say again.
+            upgrade.call(call.name(), id, heard -> answer(call, id, done, reply));
+        }
+    }
+
+    private static void answer(Operations.Call call, String id, boolean done, Operations.Reply reply) {
+        switch (call) {
+            case ENTER -> reply.yes("worker " + id + " is out and gets no new work");
+            case EXIT -> reply.yes(done ? "worker " + id + " may serve again" : "worker " + id + " was not out");
+            case STANDBY -> reply.yes("draining: no longer ready");
             default -> {
-                if (active()) {
+                if (done) {
                     reply.yes("taking clients");
                 } else {
                     reply.no(Operations.No.NOT_NOW, "this process is stopping and takes no clients any more");
@@ -181,6 +249,22 @@
         }
     }
 
+    /** False if there was nothing to do, or it cannot be done any more. */
+    private boolean carryOut(Operations.Call call, String id) {
+        switch (call) {
+            case ENTER -> takeOut(id);
+            case EXIT -> {
+                return putBack(id);
+            }
+            case STANDBY -> standby();
+            case ACTIVE -> {
+                return active();
+            }
+            default -> { }
+        }
+        return true;
+    }
+
     private String status() {
         JsonArray out = Json.array();
         roster.out().forEach(out::add);
@@ -256,7 +340,9 @@
             // Guards the consumers who hold a connection: while it is open they go on using it, and until SIGKILL
             // is near they are served as well here as anywhere. All of us may be restarting in turn.
             lifecycle.stop(loop.nowMicros(), config.deadlineMicros.values().stream().mapToLong(d -> d).max()
-                    .orElse(Long.MAX_VALUE), false);
+                    .orElse(Long.MAX_VALUE), upgrade.hasSuccessor());
+            upgrade.stopping();
+            listener.followLifecycle();
             check();
         });
         try {
@@ -277,6 +363,7 @@
 
     private void checked() {
         checking = false;
+        listener.followLifecycle();
         long now = loop.nowMicros();
         OptionalLong late = lifecycle.concludesSince(now);
         if (late.isPresent()) {
@@ -287,6 +374,7 @@
             long millis = lifecycle.stoppingForMicros(now) / MICROS_PER_MILLI;
             Events.info(LOG, "daemon.stopped").addKeyValue("ms", millis)
                     .log("stopped after " + millis + " ms, all answered");
+            upgrade.close();
             loop.stop();
         } else if (lifecycle.state() != Lifecycle.State.ACTIVE) {
             check();
--- a/daemon/src/main/java/postgrade/discovery/Watch.java
+++ b/daemon/src/main/java/postgrade/discovery/Watch.java
@@ -78,6 +78,16 @@
         }
     }
 
+    /** The version of the list that is in force. */
+    public long version() {
+        return version;
+    }
+
+    /** Where that list came from; after a move, where it is to come from. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
     /** Discovery is at this address from now on. */
     public void move(InetSocketAddress to) {
         if (to.equals(address)) {
--- a/daemon/src/main/java/postgrade/http/SocketBudget.java
+++ b/daemon/src/main/java/postgrade/http/SocketBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 
 /**
  * One budget for the sockets of all peers. Guards against running out of descriptors, which would fail accepts and
@@ -18,7 +19,7 @@
     /** Places that only discovery may take: without it every decision ages. */
     private static final int FOR_DISCOVERY = 2;
 
-    private final int most;
+    private int most;
     private int open;
     private final LinkedHashSet<Connection> onProbation = new LinkedHashSet<>();
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
@@ -27,6 +28,16 @@
         this.most = most;
     }
 
+    /** From now on so many places, which closes idle connections beyond them. */
+    public void limit(int places) {
+        most = places;
+        for (LinkedHashSet<Connection> of : List.of(onProbation, idle)) {
+            while (open > most && !of.isEmpty()) {
+                of.iterator().next().evict();
+            }
+        }
+    }
+
     /**
      * Takes a place for a connection to accept, if need be by closing an idle one. False if none is to be had.
      *
--- a/daemon/src/main/java/postgrade/lifecycle/Lifecycle.java
+++ b/daemon/src/main/java/postgrade/lifecycle/Lifecycle.java
@@ -83,9 +83,9 @@
         }
     }
 
-    /** The successor has died: what it was to take is ours again for as long as we may live. */
-    public void successorLost() {
-        successor = false;
+    /** A successor has come; or it has died, and what it was to take is ours again for as long as we may live. */
+    public void successor(boolean isThere) {
+        successor = isThere;
     }
 
     /** The front may send consumers. In an upgrade the pair is one dispatcher, ready as its successor is. */
@@ -93,6 +93,16 @@
         return state() == State.ACTIVE || state() == State.HANDING_OVER && standbyMicros == NEVER;
     }
 
+    /** This process, not the pair, takes clients. */
+    public boolean takesClients() {
+        return state() == State.ACTIVE;
+    }
+
+    /** How long it has been in standby, negative if it is not. */
+    public long standbyAgeMicros(long nowMicros) {
+        return standbyMicros == NEVER ? -1 : nowMicros - standbyMicros;
+    }
+
     /** New connections are accepted: the consumers', and always the providers' call-backs, but for a successor's. */
     public boolean accepts() {
         return state() != State.HANDING_OVER;
--- /dev/null
+++ b/daemon/src/main/java/postgrade/upgrade/Upgrade.java
@@ -0,0 +1,495 @@
+package postgrade.upgrade;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import postgrade.gateway.Timers;
+import postgrade.http.Reactor;
+import postgrade.log.Events;
+
+/**
+ * The link between the processes of one dispatcher while a new version takes the place of an old one. Each listens on a
+ * Unix-domain socket of its own name in a folder that they share; a new one connects to all it finds there and takes over
+ * what they know before it listens for consumers. From then on either passes on what came to it and is the other's.
+ *
+ * <p>Without such a folder, or where the platform refuses such sockets, there is no link and nothing else is lost.
+ */
+public final class Upgrade implements Reactor.Handler {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Upgrade.class);
+    private static final int FORM = 1;
+    private static final String SUFFIX = ".link";
+    /** A peer under load on a small part of a core may need as long; the new process is due within 6 s. */
+    private static final long STATE_MILLIS = 2_500;
+    /** An ask that is not answered in this time counts as not heard. */
+    private static final long ASK_MICROS = 400_000;
+    /** The most descriptors that the link may take: its own, and those of peers. */
+    private static final int MOST_PEERS = 4;
+
+    /** Whose link it is. All is called on the loop's thread. */
+    public interface Owner {
+        /** What a new process is to know. */
+        JsonObject snapshot();
+
+        /** A worker's call-back that came to a peer and whose job may be ours. */
+        void callBack(byte[] body);
+
+        /** An operator's call that came to a peer and was carried out there. */
+        void called(String call, String id);
+
+        /** A peer has come, begun to serve, begun to stop, or gone. */
+        void peersChanged();
+    }
+
+    private final String dispatcher;
+    private final String id;
+    private final Path folder;
+    private final Reactor reactor;
+    private final Timers timers;
+    private final Owner owner;
+    private final List<Peer> peers = new ArrayList<>();
+    private final Map<Long, Consumer<Boolean>> asked = new HashMap<>();
+    private ServerSocketChannel server;
+    private Path path;
+    private long asks;
+    private boolean serving;
+    private boolean stopping;
+
+    /**
+     * @param folder that the processes of one dispatcher share, or null for no link
+     * @param dispatcher whose processes belong together: its name and address
+     */
+    public Upgrade(Path folder, String dispatcher, Reactor reactor, Timers timers, Owner owner) {
+        this.folder = folder;
+        this.dispatcher = dispatcher;
+        this.reactor = reactor;
+        this.timers = timers;
+        this.owner = owner;
+        // Comparable by time; of one millisecond the process number decides.
+        id = String.format("%015d-%010d", System.currentTimeMillis(), ProcessHandle.current().pid());
+        if (folder != null) {
+            listen();
+        }
+    }
+
+    private String prefix() {
+        return "pg-" + Integer.toHexString(dispatcher.hashCode()) + "-";
+    }
+
+    private void listen() {
+        path = folder.resolve(prefix() + id + SUFFIX);
+        try {
+            server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+            server.bind(UnixDomainSocketAddress.of(path));
+            server.configureBlocking(false);
+            reactor.register(server, SelectionKey.OP_ACCEPT, this);
+        } catch (IOException | RuntimeException e) {
+            // Guards the start: where the platform has no such sockets the dispatcher serves as well.
+            Events.info(LOG, "upgrade.no-link").addKeyValue("why", String.valueOf(e.getMessage()))
+                    .log("no link for upgrades (" + e.getMessage() + "); a new version would need a restart");
+            close();
+            server = null;
+        }
+    }
+
+    // ---- A new process finds those before it.
+
+    /**
+     * Connects to the processes that run already and waits for what they know. Returns it of the latest that answered in
+     * time, or null. To be called before the loop runs.
+     */
+    public JsonObject join() {
+        if (server == null) {
+            return null;
+        }
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, prefix() + "*" + SUFFIX)) {
+            for (Path file : files) {
+                if (!file.equals(path) && peers.size() < MOST_PEERS) {
+                    connect(file);
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            Events.warn(LOG, "upgrade.not-looked").setCause(e).log("could not look for a process to take over from");
+        }
+        Peer latest = null;
+        if (!peers.isEmpty()) {
+            await();
+        }
+        for (Peer p : new ArrayList<>(peers)) {
+            p.begin();
+            latest = p.state != null && (latest == null || p.id.compareTo(latest.id) > 0) ? p : latest;
+        }
+        return latest == null ? null : latest.state;
+    }
+
+    /** A process of this dispatcher was there when this one joined. */
+    public boolean hasPeers() {
+        return !peers.isEmpty();
+    }
+
+    private void connect(Path file) {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open(UnixDomainSocketAddress.of(file));
+            channel.configureBlocking(false);
+            Peer p = new Peer(channel, true);
+            peers.add(p);
+            p.send(hello());
+        } catch (IOException | RuntimeException e) {
+            try {
+                // Guards against what a killed process leaves: nobody listens there, and nobody will under this name.
+                Files.deleteIfExists(file);
+                if (channel != null) {
+                    channel.close();
+                }
+            } catch (IOException left) {
+                LOG.debug("could not remove a link that is not in use", left);
+            }
+        }
+    }
+
+    private JsonObject hello() {
+        return Json.object().add("hello", FORM).add("id", id).add("dispatcher", dispatcher);
+    }
+
+    private void await() {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STATE_MILLIS);
+        try (Selector selector = Selector.open()) {
+            for (Peer p : peers) {
+                p.channel.register(selector, SelectionKey.OP_READ, p);
+            }
+            while (peers.stream().anyMatch(p -> p.open && p.state == null)) {
+                long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+                if (left <= 0) {
+                    break;
+                }
+                selector.select(left);
+                for (SelectionKey key : selector.selectedKeys()) {
+                    Peer p = (Peer) key.attachment();
+                    try {
+                        p.read();
+                    } catch (IOException | RuntimeException e) {
+                        p.lost(e);
+                    }
+                }
+                selector.selectedKeys().clear();
+            }
+        } catch (IOException e) {
+            LOG.debug("waiting for a peer's state was cut short", e);
+        }
+    }
+
+    // ---- Who is there.
+
+    /** This process listens for consumers. */
+    public void serving() {
+        serving = true;
+        tellAll(Json.object().add("serving", true));
+    }
+
+    /** This process is to end. */
+    public void stopping() {
+        stopping = true;
+        tellAll(Json.object().add("stopping", true));
+    }
+
+    /** A later process serves and is not to end: it takes the consumers. */
+    public boolean hasSuccessor() {
+        return peers.stream().anyMatch(p -> p.serving && !p.stopping && p.id.compareTo(id) > 0);
+    }
+
+    /** Processes of this dispatcher that are linked to this one. */
+    public int count() {
+        return peers.size();
+    }
+
+    private void tellAll(JsonObject message) {
+        for (Peer p : new ArrayList<>(peers)) {
+            p.send(message);
+        }
+    }
+
+    // ---- Passing on.
+
+    /** Hands a call-back to whoever holds its job. True once all others
+     * have looked at it, false if one did not answer in time. */
+    public void callBack(byte[] body, Consumer<Boolean> done) {
+        askAll(Json.object().add("event", new String(body, StandardCharsets.UTF_8)), done);
+    }
+
+    /** Tells the others of an operator's call that was carried out here. */
+    public void call(String call, String workerId, Consumer<Boolean> done) {
+        askAll(Json.object().add("call", call).add("worker", workerId == null ? "" : workerId), done);
+    }
+
+    private void askAll(JsonObject what, Consumer<Boolean> done) {
+        int[] open = {0};
+        boolean[] all = {true};
+        for (Peer p : new ArrayList<>(peers)) {
+            if (!p.serving) {
+                p.send(new JsonObject(what).add("ask", 0)); // Read before it serves; not waited for.
+                continue;
+            }
+            open[0]++;
+            long number = ++asks;
+            asked.put(number, heard -> {
+                all[0] &= heard;
+                if (--open[0] == 0) {
+                    done.accept(all[0]);
+                }
+            });
+            p.outstanding.add(number);
+            timers.at(timers.nowMicros() + ASK_MICROS, () -> answered(p, number, false));
+            p.send(new JsonObject(what).add("ask", number));
+        }
+        if (open[0] == 0) {
+            done.accept(true);
+        }
+    }
+
+    private void answered(Peer p, long number, boolean heard) {
+        p.outstanding.remove(number);
+        Consumer<Boolean> waits = asked.remove(number);
+        if (waits != null) {
+            waits.accept(heard);
+        }
+    }
+
+    // ---- The listener's side.
+
+    @Override
+    public Order order() {
+        return Order.FIRST;
+    }
+
+    @Override
+    public void ready(SelectionKey key) throws IOException {
+        SocketChannel channel = server.accept();
+        if (channel == null) {
+            return;
+        }
+        if (peers.size() >= MOST_PEERS) {
+            channel.close(); // Guards the descriptors against whoever else finds the socket.
+            return;
+        }
+        channel.configureBlocking(false);
+        Peer p = new Peer(channel, false);
+        p.begin();
+        timers.at(timers.nowMicros() + ASK_MICROS, () -> {
+            if (p.id == null) {
+                p.lost(new IOException("said nothing"));
+            }
+        });
+    }
+
+    @Override
+    public void failed(Exception e) {
+        LOG.debug("accept of a link failed", e);
+    }
+
+    /** The process ends: its name goes, so that nobody looks for it. */
+    public void close() {
+        try {
+            if (server != null) {
+                server.close();
+            }
+            if (path != null) {
+                Files.deleteIfExists(path);
+            }
+        } catch (IOException e) {
+            LOG.debug("could not remove the link", e);
+        }
+    }
+
+    /** Another process of this dispatcher. */
+    private final class Peer implements Reactor.Handler {
+        private final SocketChannel channel;
+        private final boolean ours;
+        private final Lines lines = new Lines();
+        private final List<Long> outstanding = new ArrayList<>();
+        private SelectionKey key;
+        private String id;
+        private JsonObject state;
+        private boolean serving;
+        private boolean stopping;
+        private boolean open = true;
+
+        Peer(SocketChannel channel, boolean ours) {
+            this.channel = channel;
+            this.ours = ours;
+        }
+
+        void begin() {
+            try {
+                key = reactor.register(channel, SelectionKey.OP_READ, this);
+                interest();
+            } catch (IOException e) {
+                lost(e);
+            }
+        }
+
+        void send(JsonObject message) {
+            lines.add(message.toString());
+            try {
+                flush();
+            } catch (IOException e) {
+                // The read side tells of the break: nothing of the owner's runs inside its own call.
+            }
+        }
+
+        private void flush() throws IOException {
+            if (open) {
+                lines.writeTo(channel);
+                interest();
+            }
+        }
+
+        private void interest() {
+            if (key != null && key.isValid()) {
+                key.interestOps(SelectionKey.OP_READ | (lines.allWritten() ? 0 : SelectionKey.OP_WRITE));
+            }
+        }
+
+        @Override
+        public Order order() {
+            return Order.FIRST;
+        }
+
+        @Override
+        public void ready(SelectionKey ready) throws IOException {
+            if (ready.isWritable()) {
+                flush();
+            }
+            if (open && ready.isReadable()) {
+                try {
+                    read();
+                } catch (RuntimeException e) {
+                    lost(e); // Guards the process against a peer that sends what cannot be understood.
+                }
+            }
+        }
+
+        void read() throws IOException {
+            ByteBuffer in = reactor.readBuffer();
+            in.clear();
+            int count = channel.read(in);
+            if (count < 0) {
+                lost(null);
+                return;
+            }
+            in.flip();
+            for (String line : lines.read(in)) {
+                if (open) {
+                    take(Json.parse(line).asObject());
+                }
+            }
+        }
+
+        private void take(JsonObject m) {
+            if (m.get("hello") != null) {
+                if (m.getInt("hello", 0) != FORM || !dispatcher.equals(m.getString("dispatcher", ""))) {
+                    throw new IllegalArgumentException("another dispatcher's, or of another form");
+                }
+                come(m.get("id").asString());
+                if (open) {
+                    send(Json.object().add("state", owner.snapshot()).add("id", Upgrade.this.id)
+                            .add("serving", Upgrade.this.serving).add("stopping", Upgrade.this.stopping));
+                    owner.peersChanged();
+                }
+            } else if (m.get("state") != null) {
+                state = m.get("state").asObject();
+                serving = m.getBoolean("serving", false);
+                stopping = m.getBoolean("stopping", false);
+                come(m.get("id").asString());
+                if (key != null) {
+                    owner.peersChanged(); // Late: the process has begun without it.
+                }
+            } else if (id == null) {
+                throw new IllegalArgumentException("no hello");
+            } else if (m.get("ask") != null) {
+                if (m.get("event") != null) {
+                    owner.callBack(m.get("event").asString().getBytes(StandardCharsets.UTF_8));
+                } else {
+                    owner.called(m.get("call").asString(), m.getString("worker", ""));
+                }
+                send(Json.object().add("told", m.get("ask")));
+            } else if (m.get("told") != null) {
+                answered(this, m.get("told").asLong(), true);
+            } else {
+                serving |= m.getBoolean("serving", false);
+                stopping |= m.getBoolean("stopping", false);
+                owner.peersChanged();
+            }
+        }
+
+        /** Its name is known. Of two links with one process, the one that the later of the two made stays. */
+        private void come(String name) {
+            id = name;
+            boolean known = false;
+            for (Peer other : new ArrayList<>(peers)) {
+                if (other != this && name.equals(other.id)) {
+                    boolean laterIsUs = Upgrade.this.id.compareTo(name) > 0;
+                    (ours == laterIsUs ? other : this).drop();
+                }
+                known |= other == this;
+            }
+            if (open && !known) {
+                peers.add(this);
+            }
+            if (open) {
+                Events.info(LOG, "upgrade.linked").addKeyValue("peer", id)
+                        .log("linked with process " + id + " of this dispatcher");
+            }
+        }
+
+        private void drop() {
+            open = false;
+            peers.remove(this);
+            try {
+                channel.close();
+            } catch (IOException e) {
+                LOG.debug("a link could not be closed", e);
+            }
+            for (Long number : new ArrayList<>(outstanding)) {
+                answered(this, number, false);
+            }
+        }
+
+        /** @param why null if it has ended the link itself, as it does when its process ends */
+        void lost(Exception why) {
+            if (!open) {
+                return;
+            }
+            drop();
+            if (id != null && key != null) {
+                Events.info(LOG, "upgrade.unlinked").addKeyValue("peer", id)
+                        .log("process " + id + " of this dispatcher is gone" + (why == null ? "" : " (" + why + ")"));
+                owner.peersChanged();
+            }
+        }
+
+        @Override
+        public void failed(Exception e) {
+            lost(e);
+        }
+    }
+}
--- a/daemon/src/test/java/postgrade/lifecycle/LifecycleTest.java
+++ b/daemon/src/test/java/postgrade/lifecycle/LifecycleTest.java
@@ -75,7 +75,7 @@
         assertTrue(life.endsConnections(T));
         assertFalse(life.leaves(T + S / 2));
         assertTrue(life.mayEnd(T + S));
-        life.successorLost();
+        life.successor(false);
         assertEquals(State.STOPPING, life.state());
         assertTrue(life.accepts());
         assertFalse(life.ready());
