Take over settings at SIGHUP, whole or not at all

A file has to have each key that the one in force has; deadlines and attempts have to be whole numbers above 0, of JSON's number type, at a start too. What is turned down is one log line with file and key, and nothing changes. The module, the gateway, the listener and the pools each take new settings over; buckets, counts and learnt figures stay, a job keeps its class.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -88,12 +88,12 @@
     private static final String SWEEP = "sweep";
     private static final String ASK = "ask";
 
-    private final Settings set;
+    private Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, ClassState> classes = new HashMap<>();
     private final Map<String, Double> tenantRates = new HashMap<>();
-    private final double allRates;
+    private double allRates;
     private final Table<Bucket> tenantBuckets;
     private final Table<Bucket> keyBuckets;
     private final Map<String, Kind> kinds = new HashMap<>();
@@ -113,18 +113,23 @@
     private long bootNs = -1;
 
     public Decide(Settings settings, long seed, Actions actions) {
-        set = settings;
         out = actions;
         random = new SplittableRandom(seed);
-        for (JobClass c : settings.classes) {
-            classes.put(c.name(), new ClassState(c));
-        }
-        for (Tenant t : settings.tenants) {
-            tenantRates.put(t.name(), t.ratePerS() / settings.gateways);
-        }
-        allRates = settings.tenants.stream().mapToDouble(Tenant::ratePerS).sum() / settings.gateways;
         tenantBuckets = new Table<>(settings.tableSize);
         keyBuckets = new Table<>(settings.tableSize);
+        settings(0, settings);
+    }
+
+    /** Buckets, counts and what was learnt stay; jobs under way hold the class that they came with. */
+    @Override
+    public void settings(long nowNs, Settings settings) {
+        set = settings;
+        Map<String, ClassState> former = Map.copyOf(classes);
+        classes.clear();
+        settings.classes.forEach(c -> classes.put(c.name(), new ClassState(c, former.get(c.name()))));
+        tenantRates.clear();
+        settings.tenants.forEach(t -> tenantRates.put(t.name(), t.ratePerS() / settings.gateways));
+        allRates = tenantRates.values().stream().mapToDouble(r -> r).sum();
     }
 
     // ---- A job's way in: buckets first, then a worker.
@@ -184,7 +189,8 @@
         if (!h.withinShare) {
             Bucket b = tenantBuckets.get(h.job.tenant());
             // The part of the tenant's jobs beyond its share here: near 0 where only the split is uneven.
-            double overuse = b == null ? 1 : Math.max(0, 1 - tenantRates.get(h.job.tenant()) / b.demandPerS);
+            double rate = tenantRates.getOrDefault(h.job.tenant(), 0.0);
+            double overuse = b == null ? 1 : Math.max(0, 1 - rate / b.demandPerS);
             reserve = overuse * (RESERVE + RESERVE_COSTLY * costly(h.cls));
         }
         double fleet = 0;
--- a/core/src/main/java/postgrade/Dispatcher.java
+++ b/core/src/main/java/postgrade/Dispatcher.java
@@ -45,6 +45,9 @@
     /** An operator had taken this worker out and has put it back, restarted; the list before this says so. */
     default void recalled(long nowNs, String workerId) { }
 
+    /** Other settings are in force from now on. Jobs under way keep the class that they came with. */
+    default void settings(long nowNs, Settings settings) { }
+
     void job(long nowNs, Job job);
 
     void started(long nowNs, String jobId, int attempt);
--- a/core/src/main/java/postgrade/State.java
+++ b/core/src/main/java/postgrade/State.java
@@ -1,6 +1,7 @@
 package postgrade;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import postgrade.Dispatcher.Job;
@@ -130,8 +131,14 @@
         double failures;
         long served;
 
-        ClassState(JobClass is) {
+        /** @param former what was learnt of the class under earlier settings, or null */
+        ClassState(JobClass is, ClassState former) {
             this.is = is;
+            if (former != null) {
+                meanNs = former.meanNs;
+                failures = former.failures;
+                served = former.served;
+            }
         }
     }
 
@@ -141,7 +148,7 @@
         final ClassState cls;
         final long arrivedNs;
         final long deadlineNs;
-        final Attempt[] attempts;
+        Attempt[] attempts;
         int sent;
         int out;
         int resets;
@@ -161,6 +168,9 @@
         }
 
         void begin(long nowNs, Node n) {
+            if (sent == attempts.length) {
+                attempts = Arrays.copyOf(attempts, sent + 1); // More are allowed than when it came.
+            }
             attempts[sent++] = new Attempt(this, n, nowNs);
             out++;
             count(n, 1);
--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Load;
 import postgrade.Dispatcher.Outcome;
+import postgrade.Dispatcher.Settings;
 import postgrade.Dispatcher.Worker;
 
 /**
@@ -34,8 +35,8 @@
     private final Timers timers;
     private final Faults faults;
     private final Dispatcher module;
-    private final int mostHeld;
-    private final boolean mayDuplicate;
+    private int mostHeld;
+    private boolean mayDuplicate;
     private final Map<String, Invocation> open = new HashMap<>();
     private final ArrayDeque<LongConsumer> lists = new ArrayDeque<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
@@ -79,6 +80,7 @@
         open.put(in.id, in);
         waiting++;
         in.arrivedMicros = timers.nowMicros();
+        in.mayDuplicate = mayDuplicate;
         in.overdue = timers.at(in.deadlineMicros + OVERDUE_MICROS, () -> overdue(in));
         events.add(now -> {
             try {
@@ -179,6 +181,13 @@
         events.add(now -> module.probed(now, providerId, answered, Load.NONE));
     }
 
+    /** Other settings hold from now on, for the module too. Open invocations keep their deadline and their duplicates. */
+    public void settings(Settings settings, int most) {
+        mostHeld = most;
+        mayDuplicate = settings.mayDuplicate;
+        lists.add(now -> module.settings(now, settings));
+    }
+
     public void list(ListForm form, List<Worker> workers) {
         lists.add(now -> module.list(now, form, workers));
     }
@@ -301,7 +310,7 @@
         long now = timers.nowMicros();
         long until = limitNs == 0 ? in.deadlineMicros : Math.min(in.deadlineMicros, now + limitNs / NANOS);
         InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until);
-        boolean second = in.callsOut > 0 && !mayDuplicate;
+        boolean second = in.callsOut > 0 && !in.mayDuplicate;
         in.calls.add(call);
         in.callsOut++;
         if (in.answered || second || until <= now) {
--- a/core/src/main/java/postgrade/gateway/Invocation.java
+++ b/core/src/main/java/postgrade/gateway/Invocation.java
@@ -20,6 +20,7 @@
     int callsOut;
     int untold;
     boolean answered;
+    boolean mayDuplicate;
     long arrivedMicros;
     Timers.Timer overdue;
 
--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -452,6 +452,44 @@
         assertEquals(before, out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count());
     }
 
+    // ---- Settings that change.
+
+    @Test
+    void newSettingsBindAtOnceAndFillNoBucket() {
+        Settings.Builder b = settings().tenants(List.of(new Tenant("t", 4)));
+        Decide d = start(b.build(), "s1");
+        d.finished(0, job(d, 0, "safe"), 0, Outcome.SERVED, true, FULL_UP);
+        for (int i = 0; i < 8; i++) {
+            job(d, 0, "unsafe", "t", null);
+        }
+        long refused = out.count("refuse");
+        d.settings(0, b.classes(List.of(JobClass.of("fresh", Effect.SAFE))).build());
+        job(d, 0, "fresh", "t", null);
+        assertEquals(refused + 1, out.count("refuse"), "no fresh burst");
+        assertThrows(IllegalArgumentException.class, () -> job(d, 0, "safe"));
+        d.settings(0, b.tenants(List.of()).build());
+        job(d, MS, "fresh", "t", null);
+        assertFalse(out.last("send").isEmpty());
+    }
+
+    @Test
+    void fewerAttemptsBindJobsUnderWayMoreDoToo_andAClassThatTurnsUnsafeKeepsItsOldJobs() {
+        Decide d = start(settings().build(), "s1", "s2", "s3");
+        String id = job(d, 0, "safe");
+        String kept = job(d, 0, "safe");
+        d.settings(0, settings().classes(List.of(JobClass.of("safe", Effect.UNSAFE))).maxAttempts(1).build());
+        d.finished(MS, id, 0, Outcome.ERROR, false, Load.NONE);
+        assertEquals("refuse " + id, out.last("refuse").substring(0, 7 + id.length()), "no second attempt");
+        d.settings(0, settings().classes(List.of(JobClass.of("safe", Effect.UNSAFE))).maxAttempts(6).build());
+        for (int i = 0; i < 5; i++) {
+            d.finished(2 * MS, kept, i, Outcome.FULL, false, Load.NONE);
+            d.timer(2 * SECOND + 60 * MS * i, "sweep");
+        }
+        String once = job(d, 3 * SECOND, "safe");
+        d.finished(3 * SECOND, once, 0, Outcome.ERROR, false, Load.NONE);
+        assertEquals("fail " + once, out.last("fail"));
+    }
+
     // ---- Rule 4: cold workers.
 
     /** Gateways that know s1 (8 slots, jobs of 300 ms) and hear that s2 has just started cold. */
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -37,8 +37,8 @@
     final Timers timers;
     final Gateway gateway;
     /** The deadline of each class, for requests that state none. */
-    final Map<String, Long> deadlineMicros;
-    private final Set<String> tenants;
+    Map<String, Long> deadlineMicros;
+    private Set<String> tenants;
     private final BooleanSupplier able;
     private final Lifecycle lifecycle;
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
@@ -121,6 +121,12 @@
         }
     }
 
+    /** Other classes and tenants hold for jobs that come from now on. */
+    public void settings(Map<String, Long> deadlines, Set<String> knownTenants) {
+        deadlineMicros = deadlines;
+        tenants = knownTenants;
+    }
+
     /** The port listened on, which the system chose where the address gave 0. */
     public int port() throws IOException {
         return address.getPort();
--- a/daemon/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -1,6 +1,7 @@
 package postgrade.daemon;
 
 import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.io.IOException;
@@ -34,12 +35,15 @@
     private static final int DEFAULT_SOCKETS = 1024;
     /** For what the virtual machine itself holds, 11 by count: its files, the selector, the standard streams. */
     private static final int OWN_DESCRIPTORS = 32;
+    /** Far beyond any deadline; a double still counts each. */
+    private static final double MOST_WHOLE = 1e15;
     private static final int LEAST_SOCKETS = 16;
     private static final double DEFAULT_MOST_HELD = 20_000;
     private static final double DEFAULT_DEADLINE_NS = 30e9;
     private static final double DEFAULT_CONNECT_NS = 250e6;
     private static final double DEFAULT_IDLE_NS = 10e9;
 
+    final String file;
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
@@ -66,6 +70,7 @@
     private Config(Map<String, String> environment, JsonObject json) throws Faulty {
         this.environment = environment;
         this.json = json;
+        file = environment.get("ROUTER_CONFIG");
         name = text("name", "ROUTER_NAME");
         String folder = environment.getOrDefault("TMPDIR", "");
         shared = folder.isEmpty() ? null : Path.of(folder);
@@ -78,6 +83,7 @@
         if (given == null || !given.isObject()) {
             throw new Faulty("settings", "an object is needed");
         }
+        requireWholeNumbers(given.asObject());
         pairs = JsonPairs.of(given.asObject());
         SettingsReader read = SettingsReader.ofPairs(pairs);
         try {
@@ -159,15 +165,95 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    /** Reads the file again that this was read from. */
+    /**
+     * Reads the file again that this was read from. Beyond what a start asks it must have each key that it had: one that is
+     * missing would fall back to a default that nobody chose, as in a file that somebody is still writing.
+     */
     Config readAgain() throws Faulty {
-        return read(environment);
+        Config next = read(environment);
+        requireKeys(json, next.json, "");
+        return next;
+    }
+
+    private static void requireKeys(JsonValue had, JsonValue has, String at) throws Faulty {
+        if (had.isObject()) {
+            for (JsonObject.Member m : had.asObject()) {
+                String key = at.isEmpty() ? m.getName() : at + "." + m.getName();
+                JsonValue value = has.isObject() ? has.asObject().get(m.getName()) : null;
+                if (value == null || value.isNull() && !m.getValue().isNull()) {
+                    throw new Faulty(key, "missing, though the file in force has it");
+                }
+                if (!key.equals("known")) { // A list of workers may be any, and concerns a start alone.
+                    requireKeys(m.getValue(), value, key);
+                }
+            }
+        } else if (had.isArray() && has.isArray()) {
+            JsonObject common = common(had.asArray());
+            for (int i = 0; i < has.asArray().size(); i++) {
+                requireKeys(common, has.asArray().get(i), at + "." + i);
+            }
+        } else if (had.isArray()) {
+            throw new Faulty(at, "a list is needed");
+        }
+    }
+
+    /** What all the objects of a list have: classes and tenants may come and go, and some may have more than others. */
+    private static JsonObject common(JsonArray list) {
+        JsonObject common = null;
+        for (JsonValue v : list) {
+            if (!v.isObject()) {
+                return Json.object();
+            }
+            common = common == null ? new JsonObject(v.asObject()) : common;
+            for (String name : new ArrayList<>(common.names())) {
+                if (v.asObject().get(name) == null) {
+                    common.remove(name);
+                }
+            }
+        }
+        return common == null ? Json.object() : common;
+    }
+
+    /** Guards what is counted with them: a deadline or a number of attempts is a number of JSON, whole and above 0. */
+    private void requireWhole(JsonObject in, String key, String at) throws Faulty {
+        JsonValue value = in.get(key);
+        if (value != null && !(value.isNumber() && value.asDouble() >= 1 && value.asDouble() <= MOST_WHOLE
+                && value.asDouble() == Math.rint(value.asDouble()))) {
+            throw new Faulty(at + key, "has to be a whole number above 0, not " + value);
+        }
+    }
+
+    private void requireWholeNumbers(JsonObject given) throws Faulty {
+        if (given.get("classes") == null || !given.get("classes").isArray()) {
+            throw new Faulty("settings.classes", "a list is needed");
+        }
+        List<String> names = new ArrayList<>();
+        for (JsonValue v : given.get("classes").asArray()) {
+            String at = "settings.classes." + names.size() + ".";
+            if (!v.isObject()) {
+                throw new Faulty("settings.classes." + names.size(), "an object is needed");
+            }
+            requireWhole(v.asObject(), "deadlineNs", at);
+            String name = String.valueOf(v.asObject().get("name"));
+            if (names.contains(name)) {
+                throw new Faulty(at + "name", "two classes have the name " + name);
+            }
+            names.add(name);
+        }
+        JsonValue limits = given.get("limits");
+        if (limits != null && limits.isObject()) {
+            requireWhole(limits.asObject(), "maxAttempts", "settings.limits.");
+        }
+    }
+
+    boolean sameSettings(Config other) {
+        return json.get("settings").equals(other.json.get("settings"));
     }
 
     /** The keys whose new values would need a new start; seed and list concern the start alone. */
     List<String> keysForNextStart(Config next) {
         List<String> keys = new ArrayList<>();
-        for (String key : new String[] {"name", "listen", "operator", "limits", "settings"}) {
+        for (String key : new String[] {"name", "listen", "operator", "limits"}) {
             if (!Objects.equals(json.get(key), next.json.get(key))) {
                 keys.add(key);
             }
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -47,7 +47,9 @@
     static final long STOP_CHECK_MICROS = 20_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
-    private final Config config;
+    /** In force; and what this process was started with, by which its addresses and descriptors go. */
+    private Config config;
+    private final Config started;
     private final Loop loop;
     private final Gateway gateway;
     private final ProviderPools providers;
@@ -70,6 +72,7 @@
     /** With another module in the place of ours, and another patience with discovery. */
     Daemon(Config config, Function<Actions, Dispatcher> module, long silentMicros) throws IOException {
         this.config = config;
+        started = config;
         loop = new Loop(new SocketBudget(config.sockets));
         gateway = new Gateway(module, config.settings.mayDuplicate, config.mostHeld, loop,
                 (event, message, thrown) -> Events.error(LOG, event).setCause(thrown).log(message));
@@ -84,7 +87,6 @@
         if (known != null) {
             list(ListForm.STORED, known);
         }
-        Set<String> tenants = config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
         try {
             if (!upgrade.hasPeers()) {
                 Listener.requireFree(config.listen);
@@ -93,7 +95,7 @@
             upgrade.close();
             throw e;
         }
-        listener = new Listener(config.listen, config.deadlineMicros, tenants, () -> providers.readyCount() > 0,
+        listener = new Listener(config.listen, config.deadlineMicros, tenants(config), () -> providers.readyCount() > 0,
                 lifecycle, relay(), gateway, loop, loop);
         long version = known == null || before != null && !before.follows(config.discovery) ? 0 : known.version();
         watch = new Watch(config.discovery, config.name, version, silentMicros, loop, loop,
@@ -114,6 +116,10 @@
                         + " providers known from before");
     }
 
+    private static Set<String> tenants(Config config) {
+        return config.settings.tenants.stream().map(Tenant::name).collect(Collectors.toSet());
+    }
+
     int port() throws IOException {
         return listener.port();
     }
@@ -188,7 +194,7 @@
     }
 
     private void peersChanged() {
-        loop.sockets().limit(config.sockets(1 + upgrade.count()));
+        loop.sockets().limit(started.sockets(1 + upgrade.count()));
         lifecycle.successor(upgrade.hasSuccessor());
         listener.followLifecycle();
     }
@@ -325,10 +331,16 @@
                 String later = String.join(", ", config.keysForNextStart(next));
                 Events.info(LOG, "configuration.read-again").addKeyValue("later", later).log("configuration read again"
                         + (later.isEmpty() ? "" : "; only at the next start: " + later));
+                if (!config.sameSettings(next)) {
+                    gateway.settings(next.settings, next.mostHeld);
+                    listener.settings(next.deadlineMicros, tenants(next));
+                    providers.settings(next.connectTimeoutMicros, next.idleMicros);
+                }
+                config = next;
                 watch.move(next.discovery);
             } catch (Config.Faulty e) {
                 Events.warn(LOG, "configuration.not-taken").addKeyValue("why", e.getMessage())
-                        .log("configuration not taken over, the former one stays: " + e.getMessage());
+                        .log("configuration not taken over, the former one stays: " + config.file + ": " + e.getMessage());
             }
         });
     }
--- a/daemon/src/main/java/postgrade/provider/KeepAlive.java
+++ b/daemon/src/main/java/postgrade/provider/KeepAlive.java
@@ -11,7 +11,7 @@
     private static final long LEAST_MICROS = 50_000;
     private static final long QUIET_MICROS = 30_000_000;
 
-    private final long mostMicros;
+    private long mostMicros;
     private long limitMicros;
     private long changedMicros;
 
@@ -20,6 +20,12 @@
         limitMicros = mostMicros;
     }
 
+    /** Another time after which providers close; what was learnt of shorter ones holds. */
+    void most(long micros) {
+        limitMicros = limitMicros == mostMicros ? micros : Math.min(limitMicros, micros);
+        mostMicros = micros;
+    }
+
     long limitMicros(long nowMicros) {
         if (limitMicros < mostMicros && nowMicros - changedMicros >= QUIET_MICROS) {
             limitMicros = Math.min(mostMicros, 2 * limitMicros);
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.function.LongSupplier;
 import postgrade.gateway.Timers;
 import postgrade.http.Connection;
 import postgrade.http.Reactor;
@@ -11,7 +12,7 @@
 final class Pool {
     private final Reactor reactor;
     private final Timers timers;
-    private final long connectTimeoutMicros;
+    private final LongSupplier connectTimeoutMicros;
     private final KeepAlive keepAlive;
     final String id;
     InetSocketAddress address;
@@ -22,7 +23,7 @@
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private int connecting;
 
-    Pool(String id, Reactor reactor, Timers timers, long connectTimeoutMicros, KeepAlive keepAlive) {
+    Pool(String id, Reactor reactor, Timers timers, LongSupplier connectTimeoutMicros, KeepAlive keepAlive) {
         this.id = id;
         this.reactor = reactor;
         this.timers = timers;
@@ -55,7 +56,7 @@
         }
         connecting++;
         waiting.add(r);
-        link.timer = timers.at(timers.nowMicros() + connectTimeoutMicros, link::fail);
+        link.timer = timers.at(timers.nowMicros() + connectTimeoutMicros.getAsLong(), link::fail);
     }
 
     /** A link has come up or has been answered. */
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -36,7 +36,7 @@
     private final Reactor reactor;
     private final Timers timers;
     private final Gateway gateway;
-    private final long connectTimeoutMicros;
+    private long connectTimeoutMicros;
     private final KeepAlive keepAlive;
     private final Map<String, Pool> pools = new HashMap<>();
     private int givingUp;
@@ -50,6 +50,12 @@
         keepAlive = new KeepAlive((long) (idleMicros * RETIRE));
     }
 
+    /** Other times hold from now on. */
+    public void settings(long connectMicros, long idleMicros) {
+        connectTimeoutMicros = connectMicros;
+        keepAlive.most((long) (idleMicros * RETIRE));
+    }
+
     // ---- The list.
 
     /** Applies a change of the list, before the module hears of it. A whole list drops what it lacks. */
@@ -57,8 +63,8 @@
         Set<String> named = new HashSet<>();
         for (Target t : targets) {
             named.add(t.id());
-            Pool pool = pools.computeIfAbsent(t.id(), id -> new Pool(id, reactor, timers, connectTimeoutMicros,
-                    keepAlive));
+            Pool pool = pools.computeIfAbsent(t.id(), id -> new Pool(id, reactor, timers,
+                    () -> connectTimeoutMicros, keepAlive));
             if (pool.address != null && !pool.address.equals(t.address())) {
                 pool.closeIdle();
             }
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/ReloadTest.java
@@ -0,0 +1,89 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+import static org.junit.Assert.fail;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.Test;
+
+/** New settings under way: taken over whole, or not at all. */
+public class ReloadTest extends Stage {
+
+    private Path file;
+    private String text;
+
+    private Config config() throws Exception {
+        Map<String, String> environment = configuration(server("w1", one.address(), "ready"));
+        file = Path.of(environment.get("ROUTER_CONFIG"));
+        text = Files.readString(file);
+        return Config.read(environment);
+    }
+
+    private void turnedDown(Config inForce, String from, String to, String why) throws Exception {
+        assertTrue(from, text.contains(from));
+        Files.writeString(file, text.replace(from, to));
+        try {
+            inForce.readAgain();
+            fail("taken over: " + to);
+        } catch (Config.Faulty e) {
+            assertTrue(e.getMessage(), e.getMessage().startsWith(why));
+        }
+    }
+
+    @Test
+    public void aFileThatIsNotWholeIsTurnedDownByKey() throws Exception {
+        Config c = config();
+        turnedDown(c, text, "", "ROUTER_CONFIG: not a JSON object");
+        turnedDown(c, text.substring(text.length() / 2), "", "ROUTER_CONFIG: not a JSON object");
+        turnedDown(c, "\"discovery\"", "\"discover\"", "discovery: missing");
+        turnedDown(c, "\"limits\":{\"sockets\":1024},", "", "limits: missing");
+        turnedDown(c, "\"maxAttempts\":4,", "", "settings.limits.maxAttempts: missing");
+        turnedDown(c, "\"onTimeNs\":200000000,\"deadlineNs\":20000000000},{", "\"onTimeNs\":200000000},{",
+                "settings.classes.0.deadlineNs: missing");
+        turnedDown(c, "\"idempotency\":\"non_idempotent\",", "", "settings: classes.1.idempotency");
+        turnedDown(c, "\"name\":\"confirm\"", "\"name\":\"price\"", "settings.classes.1.name: two classes");
+        for (String bad : new String[] {"0", "-1", "1.5", "\"4\"", "null", "true", "[]", "1e300"}) {
+            turnedDown(c, "\"maxAttempts\":4", "\"maxAttempts\":" + bad, "settings.limits.maxAttempts: ");
+            turnedDown(c, "20000000000},{", bad + "},{", "settings.classes.0.deadlineNs: ");
+        }
+        turnedDown(c, "\"maxAttempts\":4", "\"maxAttempts\":NaN", "ROUTER_CONFIG: not a JSON object");
+        turnedDown(c, text.substring(text.indexOf("\"classes\":["), text.indexOf("],\"limits\"")), "\"classes\":[",
+                "settings: classes");
+        Files.writeString(file, text.replace("\"price\"", "\"quote\"").replace(":20000000000}", ":2e9}"));
+        assertEquals(Map.of("quote", 2_000_000L, "confirm", 2_000_000L), c.readAgain().deadlineMicros);
+    }
+
+    /** What is faulty changes nothing, discovery's address included; what is right is in force at once. */
+    @Test
+    public void newClassesAreServedVanishedOnesNoLongerAndJobsUnderWayGoOn() throws Exception {
+        Map<String, String> environment = configuration(server("w1", one.address(), "ready"));
+        file = Path.of(environment.get("ROUTER_CONFIG"));
+        text = Files.readString(file);
+        daemon = new Daemon(Config.read(environment), out -> script = new Script(out), 20_000_000);
+        daemon.start();
+        script.heard.take();
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+        Socket underWay = post("r1", "price", "15000m");
+        script.hears("job r1");
+        one.next("POST").accept();
+        discovery.next("GET /api/targets?watch=1&from=41 ");
+        Files.writeString(file, text.replace(discovery.address(), two.address()).replace("\"maxAttempts\":4,", ""));
+        daemon.reload();
+        Files.writeString(file, text.replace("\"price\"", "\"quote\""));
+        daemon.reload();
+        script.hears("settings [quote, confirm]");
+        assertTrue("a faulty file moves nothing", two.nothingArrived());
+        assertEquals(400, Peer.read(post("r2", "price", "15000m")).status());
+        Socket fresh = post("r3", "quote", "15000m");
+        script.hears("job r3");
+        one.next("POST").accept();
+        callBack("r1", "w1", "done");
+        assertEquals(200, Peer.read(underWay).status());
+        callBack("r3", "w1", "done");
+        assertEquals(200, Peer.read(fresh).status());
+    }
+}
--- a/daemon/src/test/java/postgrade/daemon/Script.java
+++ b/daemon/src/test/java/postgrade/daemon/Script.java
@@ -36,6 +36,11 @@
         heard.add("recalled " + workerId);
     }
 
+    @Override
+    public void settings(long nowNs, Settings settings) {
+        heard.add("settings " + settings.classes.stream().map(JobClass::name).toList());
+    }
+
     @Override
     public void job(long nowNs, Job job) {
         heard.add("job " + job.id());
