Hand over what was learnt, halve what may be sent, and test upgrades

Need: a new process began with full buckets, a full cold budget and no figures beside one that still served.

The module tells its figures as ages and takes them over (Experience); while another process of the dispatcher lives each has half of the rates, bursts and cold budgets.

New stories with two daemons at one address: call-backs to either, workers out and standby over an upgrade, operators' calls to either, the handover, dead and garbled links, and no link at all.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -106,6 +106,7 @@
     private final Fading slotTimeServed = new Fading();
     private double usualRoom = 1;
     private double others = 1;
+    private double share = 1;
     private double retryBudget = RETRY_MOST;
     private double allFailures;
     private boolean sweeping;
@@ -156,9 +157,9 @@
     /** Charges every bucket of the job, also when one of them is empty. Returns how long one stays empty. */
     private long charge(long nowNs, Job job) {
         Double rate = tenantRates.get(job.tenant());
-        long emptyFor = rate == null ? 0 : take(tenantBuckets, job.tenant(), rate, nowNs);
+        long emptyFor = rate == null ? 0 : take(tenantBuckets, job.tenant(), rate * share, nowNs);
         if (job.key() != null && allRates > 0) {
-            emptyFor = Math.max(emptyFor, take(keyBuckets, job.key(), allRates * KEY_SHARE, nowNs));
+            emptyFor = Math.max(emptyFor, take(keyBuckets, job.key(), allRates * KEY_SHARE * share, nowNs));
         }
         return emptyFor;
     }
@@ -190,7 +191,7 @@
             Bucket b = tenantBuckets.get(h.job.tenant());
             // The part of the tenant's jobs beyond its share here: near 0 where only the split is uneven.
             double rate = tenantRates.getOrDefault(h.job.tenant(), 0.0);
-            double overuse = b == null ? 1 : Math.max(0, 1 - rate / b.demandPerS);
+            double overuse = b == null ? 1 : Math.max(0, 1 - rate * share / b.demandPerS);
             reserve = overuse * (RESERVE + RESERVE_COSTLY * costly(h.cls));
         }
         double fleet = 0;
@@ -427,7 +428,7 @@
         int senders = coldSenders(nowNs, n);
         boolean sends = Math.floorMod(set.gateway + n.hash, set.gateways) < senders;
         return sends && nowNs - bootNs >= set.fallNs
-                ? coldForAll(nowNs, n) / senders - n.coldSpent(nowNs - set.fallNs) : 0;
+                ? share * coldForAll(nowNs, n) / senders - n.coldSpent(nowNs - set.fallNs) : 0;
     }
 
     private int coldSenders(long nowNs, Node n) {
@@ -693,6 +694,24 @@
         }
     }
 
+    // ---- Another process of this gateway, while one takes the other's place.
+
+    @Override
+    public void share(long nowNs, double part) {
+        share = part;
+    }
+
+    @Override
+    public List<Learnt> learnt(long nowNs) {
+        return Experience.tell(nowNs, classes, kinds, nodes, tenantBuckets, keyBuckets);
+    }
+
+    @Override
+    public void learn(long nowNs, List<Learnt> all) {
+        Experience.take(nowNs, all, share, classes, kinds, nodes, tenantBuckets, keyBuckets);
+        dearestNs = classes.values().stream().mapToDouble(c -> c.meanNs).max().orElse(dearestNs);
+    }
+
     /** Put back by an operator, restarted. It owes one trial: others look better while it is cold. */
     @Override
     public void recalled(long nowNs, String workerId) {
--- a/core/src/main/java/postgrade/Dispatcher.java
+++ b/core/src/main/java/postgrade/Dispatcher.java
@@ -48,6 +48,17 @@
     /** Other settings are in force from now on. Jobs under way keep the class that they came with. */
     default void settings(long nowNs, Settings settings) { }
 
+    /** So large a part of what this gateway may do is this process's: another one of it lives, or none any more. */
+    default void share(long nowNs, double part) { }
+
+    /** What a new process of this gateway is to know. */
+    default List<Learnt> learnt(long nowNs) {
+        return List.of();
+    }
+
+    /** Takes over what another process of this gateway has learnt; the list is known. */
+    default void learn(long nowNs, List<Learnt> all) { }
+
     void job(long nowNs, Job job);
 
     void started(long nowNs, String jobId, int attempt);
@@ -96,6 +107,9 @@
      */
     record Worker(String id, String zone, String kind, int cell, Phase phase, double weight, long bornNs) { }
 
+    /** Figures of one thing, say of a worker. */
+    record Learnt(String of, String name, double[] figures) { }
+
     /** @param tenant or key null where there is none; @param memory 0 where it is not counted */
     record Job(String id, String jobClass, String tenant, String key, long timeLeftNs, double slots,
             double memory) {
--- /dev/null
+++ b/core/src/main/java/postgrade/Experience.java
@@ -0,0 +1,104 @@
+package postgrade;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import postgrade.Dispatcher.Learnt;
+import postgrade.State.Bucket;
+import postgrade.State.ClassState;
+import postgrade.State.Kind;
+import postgrade.State.Node;
+
+/**
+ * Turns what one gateway remembers into figures that another process of it takes over, and back. Times go as ages, and
+ * what the other does not know, a worker that its list lacks, say, is passed over.
+ */
+final class Experience {
+
+    private static final String CLASS = "class";
+    private static final String KIND = "kind";
+    private static final String WORKER = "worker";
+    private static final String TENANT = "tenant";
+    private static final String KEY = "key";
+    /** Guards the message against tables of thousands of keys; the busiest are the latest. */
+    private static final int MOST_BUCKETS = 500;
+
+    private Experience() { }
+
+    static List<Learnt> tell(long nowNs, Map<String, ClassState> classes, Map<String, Kind> kinds,
+            Map<String, Node> nodes, Map<String, Bucket> tenants, Map<String, Bucket> keys) {
+        List<Learnt> all = new ArrayList<>();
+        classes.forEach((name, c) -> add(all, CLASS, name, c.meanNs, c.served, c.failures));
+        kinds.forEach((name, k) -> add(all, KIND, name, k.slots, k.pace, k.served));
+        nodes.forEach((name, n) -> add(all, WORKER, name, n.failures, Math.max(0, n.ejectedUntilNs - nowNs),
+                n.ejections, n.pace, n.paced, n.waitedNs, nowNs - n.waitedAtNs, nowNs - n.fullNs, n.untried ? 1 : 0));
+        tell(all, nowNs, TENANT, tenants);
+        tell(all, nowNs, KEY, keys);
+        return all;
+    }
+
+    private static void tell(List<Learnt> all, long nowNs, String of, Map<String, Bucket> buckets) {
+        List<String> names = new ArrayList<>(buckets.keySet()); // In the order of their use, the latest last.
+        for (String name : names.subList(Math.max(0, names.size() - MOST_BUCKETS), names.size())) {
+            Bucket b = buckets.get(name);
+            add(all, of, name, b.tokens, b.demandPerS, b.failures, nowNs - b.atNs);
+        }
+    }
+
+    private static void add(List<Learnt> all, String of, String name, double... figures) {
+        all.add(new Learnt(of, name, figures));
+    }
+
+    /** @param share of the buckets' tokens; the rest stays with who told */
+    static void take(long nowNs, List<Learnt> all, double share, Map<String, ClassState> classes,
+            Map<String, Kind> kinds, Map<String, Node> nodes, Map<String, Bucket> tenants, Map<String, Bucket> keys) {
+        for (Learnt l : all) {
+            double[] f = l.figures();
+            switch (l.of()) {
+                case CLASS -> take(classes.get(l.name()), f);
+                case KIND -> take(kinds.get(l.name()), f);
+                case WORKER -> take(nowNs, nodes.get(l.name()), f);
+                case TENANT -> tenants.put(l.name(), bucket(nowNs, f, share));
+                case KEY -> keys.put(l.name(), bucket(nowNs, f, share));
+                default -> { } // A later version may tell more.
+            }
+        }
+    }
+
+    private static void take(ClassState c, double[] f) {
+        if (c != null) {
+            c.meanNs = f[0];
+            c.served = (long) f[1];
+            c.failures = f[2];
+        }
+    }
+
+    private static void take(Kind k, double[] f) {
+        if (k != null) {
+            k.slots = f[0];
+            k.pace = f[1];
+            k.served = (long) f[2];
+        }
+    }
+
+    private static void take(long nowNs, Node n, double[] f) {
+        if (n != null) {
+            n.failures = f[0];
+            n.ejectedUntilNs = nowNs + (long) f[1];
+            n.ejections = (int) f[2];
+            n.pace = f[3];
+            n.paced = f[4];
+            n.waitedNs = f[5];
+            n.waitedAtNs = nowNs - (long) f[6];
+            n.fullNs = nowNs - (long) Math.min(f[7], Long.MAX_VALUE / 4);
+            n.untried = f[8] == 1;
+        }
+    }
+
+    private static Bucket bucket(long nowNs, double[] f, double share) {
+        Bucket b = new Bucket(f[0] * share, nowNs - (long) f[3]);
+        b.demandPerS = f[1] * share;
+        b.failures = f[2];
+        return b;
+    }
+}
--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.Learnt;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Load;
 import postgrade.Dispatcher.Outcome;
@@ -188,6 +189,21 @@
         lists.add(now -> module.settings(now, settings));
     }
 
+    /** So large a part of what the dispatcher may do is this process's. */
+    public void share(double part) {
+        lists.add(now -> module.share(now, part));
+    }
+
+    /** What a new process of this dispatcher is to know of the module's. */
+    public List<Learnt> learnt() {
+        return module.learnt(timers.nowMicros() * NANOS);
+    }
+
+    /** Takes over what another process has learnt; the list has been queued. */
+    public void learn(List<Learnt> all) {
+        lists.add(now -> module.learn(now, all));
+    }
+
     public void list(ListForm form, List<Worker> workers) {
         lists.add(now -> module.list(now, form, workers));
     }
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -82,11 +82,15 @@
         Takeover before = Takeover.of(upgrade.join());
         TargetList known = before == null || before.list() == null ? config.known : before.list();
         if (before != null) {
-            before.roster(roster, loop.nowMicros() * NANOS);
+            before.tell(roster, loop.nowMicros() * NANOS);
         }
         if (known != null) {
             list(ListForm.STORED, known);
         }
+        if (before != null) {
+            gateway.share(1.0 / (1 + upgrade.count()));
+            gateway.learn(before.learnt());
+        }
         try {
             if (!upgrade.hasPeers()) {
                 Listener.requireFree(config.listen);
@@ -195,6 +199,7 @@
 
     private void peersChanged() {
         loop.sockets().limit(started.sockets(1 + upgrade.count()));
+        gateway.share(1.0 / (1 + upgrade.count()));
         lifecycle.successor(upgrade.hasSuccessor());
         listener.followLifecycle();
     }
@@ -203,7 +208,7 @@
         @Override
         public JsonObject snapshot() {
             return Takeover.snapshot(roster, loop.nowMicros() * NANOS, watch.version(), told.values(),
-                    watch.address(), lifecycle.standbyAgeMicros(loop.nowMicros()));
+                    watch.address(), lifecycle.standbyAgeMicros(loop.nowMicros()), gateway.learnt());
         }
 
         @Override
--- a/daemon/src/main/java/postgrade/daemon/Takeover.java
+++ b/daemon/src/main/java/postgrade/daemon/Takeover.java
@@ -5,10 +5,16 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Locale;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import postgrade.Dispatcher.Learnt;
 import postgrade.discovery.TargetList;
 import postgrade.discovery.TargetList.Entry;
+import postgrade.log.Events;
 import postgrade.roster.Roster;
 
 /**
@@ -16,9 +22,15 @@
  * begin at different moments.
  *
  * @param list the workers as discovery last told them, or null
+ * @param discovery who told them; versions of two addresses need not agree
+ * @param said what operators have said, its times as ages
+ * @param learnt what the decision module there has learnt
  * @param standbyAgeMicros since when it drains, negative if it does not
  */
-record Takeover(JsonObject json, TargetList list, long standbyAgeMicros) {
+record Takeover(TargetList list, String discovery, List<Roster.Record> said, List<Learnt> learnt,
+        long standbyAgeMicros) {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
 
     /** Reads a snapshot; one that cannot be made sense of, or none, is null: the start goes on without. */
     static Takeover of(JsonObject json) {
@@ -27,14 +39,35 @@
         }
         try {
             TargetList list = TargetList.of(json.get("list").asObject());
-            return new Takeover(json, list.entries().isEmpty() ? null : list, json.getLong("standby", -1));
+            List<Roster.Record> said = new ArrayList<>();
+            for (JsonValue v : json.get("roster").asArray()) {
+                JsonObject r = v.asObject();
+                said.add(new Roster.Record(r.get("id").asString(), r.get("out").asLong(), r.get("back").asLong()));
+            }
+            return new Takeover(list.entries().isEmpty() ? null : list, json.get("discovery").asString(), said,
+                    learnt(json.get("learnt").asArray()), json.get("standby").asLong());
         } catch (RuntimeException e) {
+            Events.warn(LOG, "upgrade.state-not-understood").setCause(e)
+                    .log("what the running process told was not understood; started without it");
             return null;
         }
     }
 
+    private static List<Learnt> learnt(JsonArray figures) {
+        List<Learnt> all = new ArrayList<>();
+        for (JsonValue v : figures) {
+            JsonArray one = v.asArray();
+            double[] values = new double[one.size() - 2];
+            for (int i = 0; i < values.length; i++) {
+                values[i] = one.get(i + 2).asDouble();
+            }
+            all.add(new Learnt(one.get(0).asString(), one.get(1).asString(), values));
+        }
+        return all;
+    }
+
     static JsonObject snapshot(Roster roster, long nowNs, long version, Collection<Entry> told,
-            InetSocketAddress discovery, long standbyAgeMicros) {
+            InetSocketAddress discovery, long standbyAgeMicros, List<Learnt> learnt) {
         JsonArray servers = Json.array();
         for (Entry e : told) {
             servers.add(Json.object().add("id", e.id()).add("addr", text(e.address())).add("zone", e.zone())
@@ -46,28 +79,33 @@
             ages.add(Json.object().add("id", r.id()).add("out", nowNs - r.outNs())
                     .add("back", r.backNs() == Roster.STILL_OUT ? -1 : nowNs - r.backNs()));
         }
+        JsonArray figures = Json.array();
+        for (Learnt l : learnt) {
+            JsonArray one = Json.array().add(l.of()).add(l.name());
+            for (double d : l.figures()) {
+                one.add(Double.isFinite(d) ? d : 0);
+            }
+            figures.add(one);
+        }
         return Json.object().add("list", Json.object().add("version", version).add("full", true)
                 .add("servers", servers)).add("discovery", text(discovery)).add("roster", ages)
-                .add("standby", standbyAgeMicros);
+                .add("standby", standbyAgeMicros).add("learnt", figures);
     }
 
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    /** Versions of two addresses need not agree. */
-    boolean follows(InetSocketAddress discovery) {
-        return text(discovery).equals(json.getString("discovery", ""));
+    boolean follows(InetSocketAddress address) {
+        return text(address).equals(discovery);
     }
 
     /** Tells the roster what operators have said. */
-    void roster(Roster roster, long nowNs) {
-        JsonValue records = json.get("roster");
-        for (JsonValue v : records == null ? Json.array() : records.asArray()) {
-            JsonObject r = v.asObject();
-            roster.takeOut(nowNs - r.getLong("out", 0), r.get("id").asString());
-            if (r.getLong("back", -1) >= 0) {
-                roster.putBack(nowNs - r.getLong("back", 0), r.get("id").asString());
+    void tell(Roster roster, long nowNs) {
+        for (Roster.Record r : said) {
+            roster.takeOut(nowNs - r.outNs(), r.id());
+            if (r.backNs() >= 0) {
+                roster.putBack(nowNs - r.backNs(), r.id());
             }
         }
     }
--- a/daemon/src/test/java/postgrade/daemon/Stage.java
+++ b/daemon/src/test/java/postgrade/daemon/Stage.java
@@ -1,7 +1,6 @@
 package postgrade.daemon;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,6 +36,9 @@
     long idleNs = 10_000_000_000L;
     int descriptors = 1024;
     boolean operators;
+    String listen = "127.0.0.1:0";
+    /** The folder that the processes of one dispatcher share, if there is to be one. */
+    Path shared;
 
     @Before
     public void begin() throws IOException {
@@ -69,11 +71,12 @@
 
     Map<String, String> configuration(String... servers) throws IOException {
         Path file = folder.newFile().toPath();
-        Files.writeString(file, ("{'name':'n1','listen':'127.0.0.1:0','discovery':'" + discovery.address()
+        Files.writeString(file, ("{'name':'n1','listen':'" + listen + "','discovery':'" + discovery.address()
                 + (operators ? "','operator':'127.0.0.1:0" : "") + "','seed':'8c1f30d27a5be964','limits':{'sockets':" + descriptors + "},'settings':{"
                 + SETTINGS.replace("HELD", "" + held).replace("IDLE", "" + idleNs) + "},'known':").replace('\'', '"')
                 + json(41, true, servers) + "}");
-        return Map.of("ROUTER_CONFIG", file.toString());
+        return shared == null ? Map.of("ROUTER_CONFIG", file.toString())
+                : Map.of("ROUTER_CONFIG", file.toString(), "TMPDIR", shared.toString());
     }
 
     void serve(String... servers) throws Exception {
@@ -89,7 +92,7 @@
     }
 
     Socket connect() throws IOException {
-        Socket s = new Socket(InetAddress.getLoopbackAddress(), daemon.port());
+        Socket s = new Socket(listen.split(":")[0], daemon.port());
         s.setSoTimeout(Peer.PATIENCE_S * 1000);
         sockets.add(s);
         return s;
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
@@ -0,0 +1,198 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.Before;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** A new version starts beside the running one and takes its place. */
+public class UpgradeTest extends Stage {
+
+    /** An address of its own, so that no other test's connection has the port. */
+    private static final String HOST = "127.0.0.77";
+    private Map<String, String> environment;
+    private Daemon old;
+
+    @Before
+    public void share() throws IOException {
+        operators = true;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            listen = HOST + ":" + free.getLocalPort();
+        }
+        shared = Files.createDirectory(folder.getRoot().toPath().resolve("t"));
+        environment = configuration(server("w1", one.address(), "ready"), server("w2", two.address(), "ready"));
+    }
+
+    private Daemon started() throws Exception {
+        daemon = new Daemon(Config.read(environment));
+        daemon.start();
+        return daemon;
+    }
+
+    private Arrived call(Daemon of, String line, String body) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", of.operatorPort())) {
+            s.setSoTimeout(Peer.PATIENCE_S * 1000);
+            Peer.write(s, line + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            return Peer.read(s);
+        }
+    }
+
+    private String status(Daemon of) throws IOException {
+        return call(of, "GET /status", "").body();
+    }
+
+    private List<Path> links() throws IOException {
+        try (var files = Files.list(shared)) {
+            return files.filter(f -> f.toString().endsWith(".link")).toList();
+        }
+    }
+
+    /** Ends in order; returns once it has. */
+    private static void stop(Daemon d) throws InterruptedException {
+        Thread stop = new Thread(d::stop);
+        stop.start();
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse("stopped", stop.isAlive());
+    }
+
+    /** Jobs at both processes, and call-backs that reach either: each job gets its answer, whoever was called. */
+    @Test
+    public void callBacksReachTheProcessThatHasTheJobWhicheverTheyCameTo() throws Exception {
+        old = started();
+        started();
+        List<Socket> consumers = new ArrayList<>();
+        Map<String, String> at = new HashMap<>();
+        for (int i = 0; i < 24; i++) {
+            consumers.add(post("u" + i, "price", "15000m"));
+            Arrived job = (i % 2 == 0 ? one : two).nothingArrived() ? null : (i % 2 == 0 ? one : two).next("POST");
+            at.put("u" + i, job == null ? "?" : "");
+        }
+        for (int i = 0; i < 24; i++) {
+            assertEquals(204, callBack("u" + i, "w1", "done"));
+            assertEquals(204, callBack("u" + i, "w2", "done"));
+        }
+        for (Socket s : consumers) {
+            assertEquals(200, Peer.read(s).status());
+        }
+        assertEquals("known nowhere", 204, callBack("u99", "w1", "done"));
+        stop(daemon);
+        stop(old);
+        assertTrue("the names are gone", links().isEmpty());
+    }
+
+    @Test
+    public void theNewProcessKnowsWhoIsOutAndCallsToEitherReachBoth() throws Exception {
+        old = started();
+        assertEquals(200, call(old, "PUT /maintenance/enter", "{\"id\":\"w1\"}").status());
+        started();
+        assertTrue(status(daemon), status(daemon).contains("\"out\":[\"w1\"]"));
+        for (int i = 0; i < 10; i++) {
+            post("o" + i, "price", "15000m");
+            two.next("POST").accept();
+        }
+        assertTrue(one.nothingArrived());
+        assertEquals(200, call(daemon, "PUT /maintenance/exit", "{\"id\":\"w1\"}").status());
+        assertTrue(status(old), status(old).contains("\"out\":[]"));
+        assertEquals(200, call(old, "PUT /maintenance/enter", "{\"id\":\"w2\"}").status());
+        assertTrue(status(daemon), status(daemon).contains("\"out\":[\"w2\"]"));
+        assertEquals(200, call(old, "PUT /standby", "").status());
+        assertTrue(status(daemon), status(daemon).contains("standby"));
+        Daemon third = new Daemon(Config.read(environment));
+        third.start();
+        assertTrue("an upgrade in standby stays there: " + status(third), status(third).contains("standby"));
+        assertTrue(status(third), status(third).contains("\"out\":[\"w2\"]"));
+        assertEquals(200, call(daemon, "PUT /active", "").status());
+        assertTrue(status(third), status(third).contains("active"));
+        stop(old);
+        stop(daemon);
+        stop(third);
+    }
+
+    @Test
+    public void withASuccessorAStopLeavesTheDoorToItAnswersWhatItHasAndEndsEarly() throws Exception {
+        old = started();
+        Socket before = post("h1", "price", "15000m");
+        String at = one.nothingArrived() ? null : "w1";
+        started();
+        Thread stop = new Thread(old::stop);
+        stop.start();
+        while (!status(old).contains("handing over")) {
+            Thread.onSpinWait();
+        }
+        for (int i = 0; i < 16; i++) {
+            assertEquals("the pair is ready", 200, ready());
+        }
+        assertEquals(503, call(old, "GET /status", "").status());
+        assertEquals(200, call(daemon, "GET /status", "").status());
+        callBack("h1", "w1", "done");
+        callBack("h1", "w2", "done");
+        Arrived answer = Peer.read(before);
+        assertEquals(at, 200, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse(stop.isAlive());
+        assertEquals(200, ready());
+        stop(daemon);
+    }
+
+    @Test
+    public void whatDeadProcessesLeaveAndWhoSendsGarbageFailNoStartAndNoUpgrade() throws Exception {
+        old = started();
+        Path link = links().get(0);
+        String prefix = link.getFileName().toString().replaceFirst("[0-9]{15}-[0-9]{10}[.]link", "");
+        Path dead = shared.resolve(prefix + "000000000000001-0000000001.link");
+        try (ServerSocketChannel left = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            left.bind(UnixDomainSocketAddress.of(dead));
+        }
+        Path file = Files.createFile(shared.resolve(prefix + "000000000000002-0000000002.link"));
+        for (String text : new String[] {"nonsense\n", "{\"hello\":1,\"id\":\"x\",\"dispatcher\":\"other\"}\n",
+            "{\"ask\":1}\n", "{\"hello\":1,\"dispa", "[]\n"}) {
+            SocketChannel c = SocketChannel.open(UnixDomainSocketAddress.of(link));
+            c.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+            if (text.endsWith("\n")) {
+                assertEquals(text, -1, c.read(ByteBuffer.allocate(1)));
+            }
+            c.close(); // In mid-message, the last but one.
+        }
+        started();
+        assertFalse(Files.exists(dead) || Files.exists(file));
+        assertEquals(2, links().size());
+        assertEquals(200, call(old, "PUT /maintenance/enter", "{\"id\":\"w1\"}").status());
+        assertTrue(status(daemon).contains("\"out\":[\"w1\"]"));
+        stop(old);
+        stop(daemon);
+    }
+
+    @Test
+    public void withoutTheLinkASecondProcessIsRefusedAsTheAddressIsInUse() throws Exception {
+        old = started();
+        environment = Map.of("ROUTER_CONFIG", environment.get("ROUTER_CONFIG"));
+        try {
+            started();
+            throw new AssertionError("two dispatchers at one address");
+        } catch (IOException e) {
+            assertTrue(e.getMessage(), e.getMessage().contains("in use"));
+        }
+        stop(old);
+    }
+}
