Take jobs that come on in pieces, and close no connection for one that has not come

A request that comes on in pieces is given 2 s more after each, 10 s in all, and its connection is closed after those of others that wait; one that stops is still turned away 2 s after the connection came. The place is taken once a connection is there.

--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -24,10 +24,13 @@
     private static final long FULL_RETRY_MICROS = 500_000;
     /**
      * A request must be whole so long after the connection came, or after its first byte on a connection that has
-     * carried one. Guards against peers that trickle or say nothing: who sends rubbish is owed an error or a close
-     * within 3 s of connecting, however busily it sends.
+     * carried one. Guards against peers that say nothing or stop half-way: who sends rubbish is owed an error or a close
+     * within 3 s of connecting. One that comes on in pieces is given as long again after each, up to the most.
      */
     private static final long REQUEST_MICROS = 2_000_000;
+    private static final long MOST_REQUEST_MICROS = 10_000_000;
+    /** A request whose latest piece is no older is moving: its connection goes after those of others that wait. */
+    private static final long MOVING_MICROS = 1_000_000;
     /** An answer must be taken within this time. */
     private static final long STALL_MICROS = 5_000_000;
     private static final long IDLE_MICROS = 300_000_000;
@@ -53,6 +56,8 @@
     private long activeMicros;
     /** When the request that is coming in began; the first one begins with the connection. */
     private long requestMicros;
+    /** In how many parts it has come so far. */
+    private int pieces;
     /** Requests that were of use, whatever their answer. */
     private int useful;
     private boolean turnedAway;
@@ -71,6 +76,7 @@
         if (useful > 0 && exchange == null && parser.atStart()) {
             requestMicros = activeMicros;
         }
+        pieces++;
         if (ahead.hasRemaining()) {
             if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
                 connection.close();
@@ -105,6 +111,7 @@
                 throw new BadMessage(400, "more bytes than the request has");
             } else if (request != null) {
                 requestMicros = activeMicros;
+                pieces = 0;
                 handle(request);
                 if (connection.bytesUnsent() > MOST_UNSENT) {
                     connection.close();
@@ -254,16 +261,27 @@
         boolean awaited = useful == 0 || !parser.atStart();
         long due = connection.isClosing() ? activeMicros + LINGER_MICROS
                 : !connection.allSent() ? activeMicros + STALL_MICROS
-                : awaited ? requestMicros + REQUEST_MICROS : activeMicros + IDLE_MICROS;
+                : awaited ? awaitedUntil() : activeMicros + IDLE_MICROS;
         if (nowMicros >= due) {
             expire();
         } else if (connection.allSent()
                 && (connection.isClosing() || !awaited || nowMicros - requestMicros >= FRESH_MICROS)) {
-            connection.idle(true, useful < PROVED);
+            boolean moving = inPieces() && nowMicros - activeMicros < MOVING_MICROS;
+            connection.idle(true, useful < PROVED && !moving);
         }
         account();
     }
 
+    /** Comes on in pieces, as an honest request does over a slow line. */
+    private boolean inPieces() {
+        return pieces > 1 && !parser.atStart();
+    }
+
+    private long awaitedUntil() {
+        return inPieces() ? Math.min(activeMicros + REQUEST_MICROS, requestMicros + MOST_REQUEST_MICROS)
+                : requestMicros + REQUEST_MICROS;
+    }
+
     /** A request begun is answered; a connection that says nothing, or has been told, is closed. */
     private void expire() {
         if (!parser.atStart() && connection.allSent() && !connection.isClosing()) {
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -148,18 +148,20 @@
             // Guards the connections that usual peers keep: those that have just come and may be of no use are
             // waited for, a moment, before one of the others has to go.
             boolean anyIdle = connections.stream().noneMatch(c -> c.fresh(timers.nowMicros()));
-            if (!reactor.sockets().takeToAccept(anyIdle)) {
+            if (!reactor.sockets().hasToAccept(anyIdle)) {
                 // Guards what waits in the backlog: it is left there, not accepted and closed, until there is a place.
                 pause(true);
                 shortMicros = shortMicros == 0 ? timers.nowMicros() : shortMicros;
                 return false;
             }
-            boolean kept = false;
             SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return true;
+            }
+            boolean kept = false;
+            // Only now: guards the connections that would be closed for one that has not come.
+            reactor.sockets().takeToAccept(anyIdle);
             try {
-                if (accepted == null) {
-                    return true;
-                }
                 connections.add(new ConsumerConnection(this, accepted));
                 kept = true;
             } catch (IOException e) {
--- a/daemon/src/main/java/postgrade/http/SocketBudget.java
+++ b/daemon/src/main/java/postgrade/http/SocketBudget.java
@@ -47,6 +47,11 @@
         return take((int) (most * MOST_ACCEPTED), anyIdle);
     }
 
+    /** Whether {@link #takeToAccept} would find a place; nothing is closed for one that may not come. */
+    public boolean hasToAccept(boolean anyIdle) {
+        return open < (int) (most * MOST_ACCEPTED) || !onProbation.isEmpty() || anyIdle && !idle.isEmpty();
+    }
+
     /** Takes a place for a connection of ours. */
     boolean takeToConnect(boolean toDiscovery) {
         return take(toDiscovery ? most : most - FOR_DISCOVERY, true);
--- a/daemon/src/main/java/postgrade/operator/OperatorListener.java
+++ b/daemon/src/main/java/postgrade/operator/OperatorListener.java
@@ -57,25 +57,17 @@
     @Override
     public void ready(SelectionKey ready) throws IOException {
         // Guards those who call: one who sits there and has sent no whole call goes for the next who comes.
-        while (places.takeToAccept(true)) {
-            SocketChannel accepted = null;
-            boolean kept = false;
+        while (places.hasToAccept(true)) {
+            SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return;
+            }
+            places.takeToAccept(true);
             try {
-                accepted = channel.accept();
-                if (accepted == null) {
-                    return;
-                }
                 new OperatorConnection(this, accepted);
-                kept = true;
             } catch (IOException e) {
-                if (accepted == null) {
-                    throw e;
-                }
                 accepted.close(); // It broke while it was accepted; the next one need not.
-            } finally {
-                if (!kept) {
-                    places.giveBack();
-                }
+                places.giveBack();
             }
         }
         key.interestOps(0); // Every place is taken by a call that waits for its answer, which is due soon.
--- a/daemon/src/test/java/postgrade/daemon/OperatorTest.java
+++ b/daemon/src/test/java/postgrade/daemon/OperatorTest.java
@@ -93,6 +93,31 @@
         one.next("POST").accept();
     }
 
+    @Test
+    public void callsAndJobsCutAtAnyByteAreTaken() throws Exception {
+        serve(server("w1", one.address(), "ready"));
+        String text = "PUT /maintenance/enter HTTP/1.1\r\nContent-Length: 11\r\n\r\n{\"id\":\"w9\"}";
+        for (int cut = 1; cut < text.length(); cut++) {
+            Socket s = operator();
+            s.setTcpNoDelay(true);
+            Peer.write(s, text.substring(0, cut));
+            Peer.write(s, text.substring(cut));
+            assertEquals("cut at " + cut, 404, Peer.read(s).status());
+        }
+        String job = "POST /api HTTP/1.1\r\nX-Request-Id: ID\r\nX-Class: price\r\nContent-Length: 3\r\n\r\njob";
+        Socket s = connect();
+        s.setTcpNoDelay(true);
+        for (int cut = 1; cut < job.length(); cut++) {
+            String id = "" + (100 + cut);
+            String mine = job.replace("ID", id);
+            Peer.write(s, mine.substring(0, cut));
+            Peer.write(s, mine.substring(cut));
+            one.next("POST").accept();
+            callBack(id, "w1", "done");
+            assertEquals("cut at " + cut, 200, Peer.read(s).status());
+        }
+    }
+
     @Test
     public void callersWhoSitThereWithNothingOrHalfACallKeepNobodyWaiting() throws Exception {
         serve(server("w1", one.address(), "ready"));
--- a/daemon/src/test/java/postgrade/daemon/ReloadTest.java
+++ b/daemon/src/test/java/postgrade/daemon/ReloadTest.java
@@ -73,6 +73,7 @@
         discovery.next("GET /api/targets?watch=1&from=41 ");
         Files.writeString(file, text.replace(discovery.address(), two.address()).replace("\"maxAttempts\":4,", ""));
         daemon.reload();
+        assertEquals("and by this answer it has been read", 200, ready());
         Files.writeString(file, text.replace("\"price\"", "\"quote\""));
         daemon.reload();
         script.hears("settings [quote, confirm]");
