--- a/daemon/src/main/java/postgrade/daemon/Main.java
+++ b/daemon/src/main/java/postgrade/daemon/Main.java
@@ -1,8 +1,11 @@
 package postgrade.daemon;
 
 import java.io.IOException;
+import org.slf4j.LoggerFactory;
 import postgrade.log.EventLogs;
+import postgrade.log.Events;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The program: {@code serve} is one dispatcher on sockets, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -66,7 +69,14 @@
         }
         // Guards against the virtual machine's own way with SIGHUP, which is to end. No library of the JDK's own names
         // signals but this one; it is part of the exported module jdk.unsupported.
-        Signal.handle(new Signal("HUP"), signal -> daemon.reload());
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> daemon.reload());
+        if (before == SignalHandler.SIG_IGN) {
+            // Guards the operators: the virtual machine leaves a signal ignored that was so when it started, and says
+            // nothing. A new configuration, discovery's new address with it, would never be heard of.
+            Events.warn(LoggerFactory.getLogger(Main.class), "configuration.signal-ignored")
+                    .log("SIGHUP is ignored, as whoever started this process wanted it (nohup does); "
+                            + "the configuration cannot be read again until a start without that");
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         daemon.start();
     }
--- a/daemon/src/test/java/postgrade/daemon/Stage.java
+++ b/daemon/src/test/java/postgrade/daemon/Stage.java
@@ -139,9 +139,12 @@
         Peer.write(watch.socket(), Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
     }
 
-    static Process program(Map<String, String> environment) throws IOException {
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "postgrade.daemon.Main", "serve");
+    /** @param by a command that starts it, if it is not to be started plainly */
+    static Process program(Map<String, String> environment, String... by) throws IOException {
+        List<String> command = new ArrayList<>(List.of(by));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "postgrade.daemon.Main", "serve"));
+        ProcessBuilder b = new ProcessBuilder(command);
         b.environment().putAll(environment);
         return b.start();
     }
--- a/daemon/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/daemon/src/test/java/postgrade/daemon/StoriesTest.java
@@ -8,6 +8,8 @@
 import static org.junit.Assert.assertTrue;
 import static org.junit.Assert.fail;
 
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -693,6 +695,22 @@
         }
     }
 
+    /** Days were lost to it: the bench had been started with nohup, and its dispatchers never read a new configuration. */
+    @Test
+    public void aProgramThatIsStartedWithSighupIgnoredSaysThatItCannotReadAgain() throws Exception {
+        Map<String, String> good = configuration(server("w1", one.address(), "ready"));
+        Process p = program(good, "sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        try (BufferedReader log = new BufferedReader(new InputStreamReader(p.getErrorStream()))) {
+            String line = log.readLine();
+            while (line != null && !line.contains("SIGHUP is ignored")) {
+                line = log.readLine();
+            }
+            assertTrue("said so", line != null);
+        } finally {
+            p.destroyForcibly();
+        }
+    }
+
     /** Replaces a word of the configuration file and sends SIGHUP. */
     private static void hangUp(Process p, Map<String, String> environment, String from, String to) throws Exception {
         Path file = Path.of(environment.get("ROUTER_CONFIG"));
