--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -100,6 +100,7 @@
             key = reactor.register(channel, SelectionKey.OP_ACCEPT, this);
         } catch (IOException e) {
             channel.close();
+            channel = null;
             throw e;
         }
     }
--- a/daemon/src/main/java/postgrade/upgrade/Upgrade.java
+++ b/daemon/src/main/java/postgrade/upgrade/Upgrade.java
@@ -212,9 +212,9 @@
         tellAll(Json.object().add("stopping", true));
     }
 
-    /** A later process serves and is not to end: it takes the consumers. */
+    /** Another process serves and is not to end: it takes the consumers. An upgrade undone leaves them to the old one. */
     public boolean hasSuccessor() {
-        return peers.stream().anyMatch(p -> p.serving && !p.stopping && p.id.compareTo(id) > 0);
+        return peers.stream().anyMatch(p -> p.serving && !p.stopping);
     }
 
     /** Processes of this dispatcher that are linked to this one. */
--- a/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
@@ -155,6 +155,24 @@
         stop(daemon);
     }
 
+    @Test
+    public void anUpgradeIsUndoneByEndingTheNewProcess() throws Exception {
+        old = started();
+        started();
+        Thread stop = new Thread(daemon::stop);
+        stop.start();
+        while (!status(daemon).contains("handing over")) {
+            Thread.onSpinWait();
+        }
+        for (int i = 0; i < 16; i++) {
+            assertEquals("the pair is ready", 200, ready());
+        }
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse(stop.isAlive());
+        assertEquals(200, ready());
+        stop(old);
+    }
+
     @Test
     public void whatDeadProcessesLeaveAndWhoSendsGarbageFailNoStartAndNoUpgrade() throws Exception {
         old = started();
