--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -88,12 +88,12 @@
     private static final String SWEEP = "sweep";
     private static final String ASK = "ask";
 
-    private final Settings set;
+    private Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, ClassState> classes = new HashMap<>();
     private final Map<String, Double> tenantRates = new HashMap<>();
-    private final double allRates;
+    private double allRates;
     private final Table<Bucket> tenantBuckets;
     private final Table<Bucket> keyBuckets;
     private final Map<String, Kind> kinds = new HashMap<>();
@@ -106,6 +106,7 @@
     private final Fading slotTimeServed = new Fading();
     private double usualRoom = 1;
     private double others = 1;
+    private double share = 1;
     private double retryBudget = RETRY_MOST;
     private double allFailures;
     private boolean sweeping;
@@ -113,18 +114,23 @@
     private long bootNs = -1;
 
     public Decide(Settings settings, long seed, Actions actions) {
-        set = settings;
         out = actions;
         random = new SplittableRandom(seed);
-        for (JobClass c : settings.classes) {
-            classes.put(c.name(), new ClassState(c));
-        }
-        for (Tenant t : settings.tenants) {
-            tenantRates.put(t.name(), t.ratePerS() / settings.gateways);
-        }
-        allRates = settings.tenants.stream().mapToDouble(Tenant::ratePerS).sum() / settings.gateways;
         tenantBuckets = new Table<>(settings.tableSize);
         keyBuckets = new Table<>(settings.tableSize);
+        settings(0, settings);
+    }
+
+    /** Buckets, counts and what was learnt stay; jobs under way hold the class that they came with. */
+    @Override
+    public void settings(long nowNs, Settings settings) {
+        set = settings;
+        Map<String, ClassState> former = Map.copyOf(classes);
+        classes.clear();
+        settings.classes.forEach(c -> classes.put(c.name(), new ClassState(c, former.get(c.name()))));
+        tenantRates.clear();
+        settings.tenants.forEach(t -> tenantRates.put(t.name(), t.ratePerS() / settings.gateways));
+        allRates = tenantRates.values().stream().mapToDouble(r -> r).sum();
     }
 
     // ---- A job's way in: buckets first, then a worker.
@@ -151,9 +157,9 @@
     /** Charges every bucket of the job, also when one of them is empty. Returns how long one stays empty. */
     private long charge(long nowNs, Job job) {
         Double rate = tenantRates.get(job.tenant());
-        long emptyFor = rate == null ? 0 : take(tenantBuckets, job.tenant(), rate, nowNs);
+        long emptyFor = rate == null ? 0 : take(tenantBuckets, job.tenant(), rate * share, nowNs);
         if (job.key() != null && allRates > 0) {
-            emptyFor = Math.max(emptyFor, take(keyBuckets, job.key(), allRates * KEY_SHARE, nowNs));
+            emptyFor = Math.max(emptyFor, take(keyBuckets, job.key(), allRates * KEY_SHARE * share, nowNs));
         }
         return emptyFor;
     }
@@ -184,7 +190,8 @@
         if (!h.withinShare) {
             Bucket b = tenantBuckets.get(h.job.tenant());
             // The part of the tenant's jobs beyond its share here: near 0 where only the split is uneven.
-            double overuse = b == null ? 1 : Math.max(0, 1 - tenantRates.get(h.job.tenant()) / b.demandPerS);
+            double rate = tenantRates.getOrDefault(h.job.tenant(), 0.0);
+            double overuse = b == null ? 1 : Math.max(0, 1 - rate * share / b.demandPerS);
             reserve = overuse * (RESERVE + RESERVE_COSTLY * costly(h.cls));
         }
         double fleet = 0;
@@ -289,9 +296,12 @@
         double least = Double.MAX_VALUE;
         double ties = 0;
         for (Node n : ready) {
-            if (!able(nowNs, h, n) || needsRoom && !fits(nowNs, h, n)) {
+            if (!able(nowNs, h, n) || needsRoom && !fits(nowNs, h, n) && (!n.untried || once)) {
                 continue;
             }
+            if (n.untried && !once) {
+                return n; // Cold it never looks best, and would be left unused.
+            }
             double size = slots(n) * warmth(nowNs, n) / pace(n);
             // A full answer comes at once and leaves none of our jobs there: fewest alone would feed it more.
             double full = slots(n) * (1 - Math.min(1, (nowNs - n.fullNs) / dearestNs));
@@ -418,7 +428,7 @@
         int senders = coldSenders(nowNs, n);
         boolean sends = Math.floorMod(set.gateway + n.hash, set.gateways) < senders;
         return sends && nowNs - bootNs >= set.fallNs
-                ? coldForAll(nowNs, n) / senders - n.coldSpent(nowNs - set.fallNs) : 0;
+                ? share * coldForAll(nowNs, n) / senders - n.coldSpent(nowNs - set.fallNs) : 0;
     }
 
     private int coldSenders(long nowNs, Node n) {
@@ -441,6 +451,7 @@
         if (warmth(nowNs, n) < 1) {
             n.spendCold(nowNs, coldCost(h, n));
         }
+        n.untried = false;
         n.averageUsed(nowNs, REPORT_LAG_NS);
         h.begin(nowNs, n);
         out.send(h.job.id(), n.id, 0);
@@ -683,6 +694,34 @@
         }
     }
 
+    // ---- Another process of this gateway, while one takes the other's place.
+
+    @Override
+    public void share(long nowNs, double part) {
+        share = part;
+    }
+
+    @Override
+    public List<Learnt> learnt(long nowNs) {
+        return Experience.tell(nowNs, classes, kinds, nodes, tenantBuckets, keyBuckets);
+    }
+
+    @Override
+    public void learn(long nowNs, List<Learnt> all) {
+        Experience.take(nowNs, all, share, classes, kinds, nodes, tenantBuckets, keyBuckets);
+        dearestNs = classes.values().stream().mapToDouble(c -> c.meanNs).max().orElse(dearestNs);
+    }
+
+    /** Put back by an operator, restarted. It owes one trial: others look better while it is cold. */
+    @Override
+    public void recalled(long nowNs, String workerId) {
+        Node n = nodes.get(workerId);
+        if (n != null) {
+            n.forget();
+            n.untried = true;
+        }
+    }
+
     @Override
     public void abandoned(long nowNs, String jobId) {
         Held h = jobs.get(jobId);
--- a/core/src/main/java/postgrade/State.java
+++ b/core/src/main/java/postgrade/State.java
@@ -1,6 +1,7 @@
 package postgrade;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import postgrade.Dispatcher.Job;
@@ -54,6 +55,8 @@
         double pace = 1;
         double paced;
         int ejections;
+        /** Put back by an operator and not yet sent to. */
+        boolean untried;
         long ejectedUntilNs;
         final ArrayDeque<Held> askers = new ArrayDeque<>();
         private final ArrayDeque<double[]> coldSends = new ArrayDeque<>();
@@ -72,6 +75,18 @@
             usedAtNs = nowNs;
         }
 
+        /** It is a new process: nothing is held against it, and nothing of its pace is known. */
+        void forget() {
+            failures = 0;
+            ejections = 0;
+            ejectedUntilNs = 0;
+            waitedNs = 0;
+            pace = 1;
+            paced = 0;
+            room = Double.NaN;
+            fullNs = Long.MIN_VALUE / 2;
+        }
+
         void spendCold(long nowNs, double cost) {
             coldSends.add(new double[] {nowNs, cost});
             coldSpent += cost;
@@ -116,8 +131,14 @@
         double failures;
         long served;
 
-        ClassState(JobClass is) {
+        /** @param former what was learnt of the class under earlier settings, or null */
+        ClassState(JobClass is, ClassState former) {
             this.is = is;
+            if (former != null) {
+                meanNs = former.meanNs;
+                failures = former.failures;
+                served = former.served;
+            }
         }
     }
 
@@ -127,7 +148,7 @@
         final ClassState cls;
         final long arrivedNs;
         final long deadlineNs;
-        final Attempt[] attempts;
+        Attempt[] attempts;
         int sent;
         int out;
         int resets;
@@ -147,6 +168,9 @@
         }
 
         void begin(long nowNs, Node n) {
+            if (sent == attempts.length) {
+                attempts = Arrays.copyOf(attempts, sent + 1); // More are allowed than when it came.
+            }
             attempts[sent++] = new Attempt(this, n, nowNs);
             out++;
             count(n, 1);
--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -10,9 +10,11 @@
 import postgrade.Dispatcher;
 import postgrade.Dispatcher.Actions;
 import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.Learnt;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Load;
 import postgrade.Dispatcher.Outcome;
+import postgrade.Dispatcher.Settings;
 import postgrade.Dispatcher.Worker;
 
 /**
@@ -34,8 +36,8 @@
     private final Timers timers;
     private final Faults faults;
     private final Dispatcher module;
-    private final int mostHeld;
-    private final boolean mayDuplicate;
+    private int mostHeld;
+    private boolean mayDuplicate;
     private final Map<String, Invocation> open = new HashMap<>();
     private final ArrayDeque<LongConsumer> lists = new ArrayDeque<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
@@ -79,6 +81,7 @@
         open.put(in.id, in);
         waiting++;
         in.arrivedMicros = timers.nowMicros();
+        in.mayDuplicate = mayDuplicate;
         in.overdue = timers.at(in.deadlineMicros + OVERDUE_MICROS, () -> overdue(in));
         events.add(now -> {
             try {
@@ -117,12 +120,15 @@
         }
     }
 
-    /** A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over. */
-    public void report(String id, String from, JobState state, double share, byte[] result) {
+    /**
+     * A provider's call-back. Those of unknown jobs, other providers and ended calls are passed over.
+     * False if the job is not known here.
+     */
+    public boolean report(String id, String from, JobState state, double share, byte[] result) {
         Invocation in = open.get(id);
         InvokerCall call = in == null ? null : callOutAt(in, from);
         if (call == null) {
-            return;
+            return in != null;
         }
         switch (state) {
             case STARTED -> tell(in, now -> module.started(now, id, call.number));
@@ -138,6 +144,7 @@
                 }
             }
         }
+        return true;
     }
 
     private static InvokerCall callOutAt(Invocation in, String providerId) {
@@ -175,10 +182,37 @@
         events.add(now -> module.probed(now, providerId, answered, Load.NONE));
     }
 
+    /** Other settings hold from now on, for the module too. Open invocations keep their deadline and their duplicates. */
+    public void settings(Settings settings, int most) {
+        mostHeld = most;
+        mayDuplicate = settings.mayDuplicate;
+        lists.add(now -> module.settings(now, settings));
+    }
+
+    /** So large a part of what the dispatcher may do is this process's. */
+    public void share(double part) {
+        lists.add(now -> module.share(now, part));
+    }
+
+    /** What a new process of this dispatcher is to know of the module's. */
+    public List<Learnt> learnt() {
+        return module.learnt(timers.nowMicros() * NANOS);
+    }
+
+    /** Takes over what another process has learnt; the list has been queued. */
+    public void learn(List<Learnt> all) {
+        lists.add(now -> module.learn(now, all));
+    }
+
     public void list(ListForm form, List<Worker> workers) {
         lists.add(now -> module.list(now, form, workers));
     }
 
+    /** An operator has put this worker back; the list that says so has been queued. */
+    public void recalled(String providerId) {
+        lists.add(now -> module.recalled(now, providerId));
+    }
+
     /** Nothing is owed, under way or waiting to be told. */
     public boolean idle() {
         return open.isEmpty() && !pending();
@@ -292,7 +326,7 @@
         long now = timers.nowMicros();
         long until = limitNs == 0 ? in.deadlineMicros : Math.min(in.deadlineMicros, now + limitNs / NANOS);
         InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until);
-        boolean second = in.callsOut > 0 && !mayDuplicate;
+        boolean second = in.callsOut > 0 && !in.mayDuplicate;
         in.calls.add(call);
         in.callsOut++;
         if (in.answered || second || until <= now) {
--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -452,6 +452,44 @@
         assertEquals(before, out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count());
     }
 
+    // ---- Settings that change.
+
+    @Test
+    void newSettingsBindAtOnceAndFillNoBucket() {
+        Settings.Builder b = settings().tenants(List.of(new Tenant("t", 4)));
+        Decide d = start(b.build(), "s1");
+        d.finished(0, job(d, 0, "safe"), 0, Outcome.SERVED, true, FULL_UP);
+        for (int i = 0; i < 8; i++) {
+            job(d, 0, "unsafe", "t", null);
+        }
+        long refused = out.count("refuse");
+        d.settings(0, b.classes(List.of(JobClass.of("fresh", Effect.SAFE))).build());
+        job(d, 0, "fresh", "t", null);
+        assertEquals(refused + 1, out.count("refuse"), "no fresh burst");
+        assertThrows(IllegalArgumentException.class, () -> job(d, 0, "safe"));
+        d.settings(0, b.tenants(List.of()).build());
+        job(d, MS, "fresh", "t", null);
+        assertFalse(out.last("send").isEmpty());
+    }
+
+    @Test
+    void fewerAttemptsBindJobsUnderWayMoreDoToo_andAClassThatTurnsUnsafeKeepsItsOldJobs() {
+        Decide d = start(settings().build(), "s1", "s2", "s3");
+        String id = job(d, 0, "safe");
+        String kept = job(d, 0, "safe");
+        d.settings(0, settings().classes(List.of(JobClass.of("safe", Effect.UNSAFE))).maxAttempts(1).build());
+        d.finished(MS, id, 0, Outcome.ERROR, false, Load.NONE);
+        assertEquals("refuse " + id, out.last("refuse").substring(0, 7 + id.length()), "no second attempt");
+        d.settings(0, settings().classes(List.of(JobClass.of("safe", Effect.UNSAFE))).maxAttempts(6).build());
+        for (int i = 0; i < 5; i++) {
+            d.finished(2 * MS, kept, i, Outcome.FULL, false, Load.NONE);
+            d.timer(2 * SECOND + 60 * MS * i, "sweep");
+        }
+        String once = job(d, 3 * SECOND, "safe");
+        d.finished(3 * SECOND, once, 0, Outcome.ERROR, false, Load.NONE);
+        assertEquals("fail " + once, out.last("fail"));
+    }
+
     // ---- Rule 4: cold workers.
 
     /** Gateways that know s1 (8 slots, jobs of 300 ms) and hear that s2 has just started cold. */
@@ -504,6 +542,28 @@
         assertEquals(1, out.count("send"));
     }
 
+    /** Cold it looks worse than all others, and a worker put back by an operator was left unused. */
+    @Test
+    void workerPutBackIsForgivenAndTriedByTheNextRepeatableJobWithinItsColdBudget() {
+        Decide d = gatewaysWithColdWorker(1, 0).get(0);
+        d.list(50 * SECOND, ListForm.FULL,
+                List.of(worker("s1", Phase.READY, 0), worker("s2", Phase.READY, 50 * SECOND)));
+        for (int i = 0; i < 40; i++) {
+            String id = job(d, 50 * SECOND + i, "safe");
+            Outcome end = out.sentTo(id).equals("s2") ? Outcome.ERROR : Outcome.SERVED;
+            d.finished(50 * SECOND + i, id, 0, end, true, FREE);
+        }
+        d.list(60 * SECOND, ListForm.CHANGES, List.of(worker("s2", Phase.READY, 60 * SECOND)));
+        d.recalled(60 * SECOND, "s2");
+        assertEquals("s1", out.sentTo(job(d, 60 * SECOND, "unsafe")));
+        assertEquals("s2", out.sentTo(job(d, 60 * SECOND, "safe")));
+        long before = out.count("send");
+        for (int i = 0; i < 5; i++) {
+            job(d, 60 * SECOND, "safe");
+        }
+        assertTrue(out.said.stream().filter(l -> l.startsWith("send")).skip(before).anyMatch(l -> l.endsWith("s1")));
+    }
+
     // ---- Failures found.
 
     /** Incident i3632c1: a full worker holds few of ours, so fewest in flight fed it. */
--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -24,10 +24,13 @@
     private static final long FULL_RETRY_MICROS = 500_000;
     /**
      * A request must be whole so long after the connection came, or after its first byte on a connection that has
-     * carried one. Guards against peers that trickle or say nothing: who sends rubbish is owed an error or a close
-     * within 3 s of connecting, however busily it sends.
+     * carried one. Guards against peers that say nothing or stop half-way: who sends rubbish is owed an error or a close
+     * within 3 s of connecting. One that comes on in pieces is given as long again after each, up to the most.
      */
     private static final long REQUEST_MICROS = 2_000_000;
+    private static final long MOST_REQUEST_MICROS = 10_000_000;
+    /** A request whose latest piece is no older is moving: its connection goes after those of others that wait. */
+    private static final long MOVING_MICROS = 1_000_000;
     /** An answer must be taken within this time. */
     private static final long STALL_MICROS = 5_000_000;
     private static final long IDLE_MICROS = 300_000_000;
@@ -53,6 +56,8 @@
     private long activeMicros;
     /** When the request that is coming in began; the first one begins with the connection. */
     private long requestMicros;
+    /** In how many parts it has come so far. */
+    private int pieces;
     /** Requests that were of use, whatever their answer. */
     private int useful;
     private boolean turnedAway;
@@ -71,6 +76,7 @@
         if (useful > 0 && exchange == null && parser.atStart()) {
             requestMicros = activeMicros;
         }
+        pieces++;
         if (ahead.hasRemaining()) {
             if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
                 connection.close();
@@ -105,6 +111,7 @@
                 throw new BadMessage(400, "more bytes than the request has");
             } else if (request != null) {
                 requestMicros = activeMicros;
+                pieces = 0;
                 handle(request);
                 if (connection.bytesUnsent() > MOST_UNSENT) {
                     connection.close();
@@ -143,19 +150,32 @@
             useful++;
             boolean ready = listener.readyToServe();
             answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", request.keepsAlive());
-        } else if (path.equals(JobEvents.PATH) && request.method().equals("POST")) {
-            String error = JobEvents.take(request.body(), listener.gateway);
-            useful += error == null ? 1 : 0;
-            if (error == null) {
-                answer(204, "", request.keepsAlive());
-            } else {
-                turnAway(400, error, request.keepsAlive());
-            }
+        } else if (path.equals(JobEvent.PATH) && request.method().equals("POST")) {
+            callBack(request);
         } else {
             turnAway(404, "no such page", request.keepsAlive());
         }
     }
 
+    /** A provider takes an answer for the end of its duty: it leaves only once whoever holds the job has the news. */
+    private void callBack(Message request) {
+        JobEvent event;
+        try {
+            event = JobEvent.of(request.body());
+        } catch (IllegalArgumentException e) {
+            turnAway(400, e.getMessage(), request.keepsAlive());
+            return;
+        }
+        useful++;
+        if (event.tell(listener.gateway) || !listener.relay.any()) {
+            answer(204, "", request.keepsAlive());
+            return;
+        }
+        Exchange waits = new Exchange(request.keepsAlive());
+        exchange = waits;
+        listener.relay.callBack(request.body(), waits::relayed);
+    }
+
     private void invoke(Message request) {
         String jobClass = request.header("x-class");
         String id = request.header("x-request-id");
@@ -220,7 +240,7 @@
 
     private void write(int status, byte[] body, String retryAfter, boolean keepsAlive) {
         activeMicros = listener.timers.nowMicros();
-        boolean keep = keepsAlive && !(listener.leaving() && ofConsumer);
+        boolean keep = keepsAlive && !(listener.endsConnections() && ofConsumer);
         connection.write(MessageWriter.response(status).header("Retry-After", retryAfter)
                 .header("Connection", keep ? null : "close").body(body));
         if (!keep) {
@@ -241,16 +261,27 @@
         boolean awaited = useful == 0 || !parser.atStart();
         long due = connection.isClosing() ? activeMicros + LINGER_MICROS
                 : !connection.allSent() ? activeMicros + STALL_MICROS
-                : awaited ? requestMicros + REQUEST_MICROS : activeMicros + IDLE_MICROS;
+                : awaited ? awaitedUntil() : activeMicros + IDLE_MICROS;
         if (nowMicros >= due) {
             expire();
         } else if (connection.allSent()
                 && (connection.isClosing() || !awaited || nowMicros - requestMicros >= FRESH_MICROS)) {
-            connection.idle(true, useful < PROVED);
+            boolean moving = inPieces() && nowMicros - activeMicros < MOVING_MICROS;
+            connection.idle(true, useful < PROVED && !moving);
         }
         account();
     }
 
+    /** Comes on in pieces, as an honest request does over a slow line. */
+    private boolean inPieces() {
+        return pieces > 1 && !parser.atStart();
+    }
+
+    private long awaitedUntil() {
+        return inPieces() ? Math.min(activeMicros + REQUEST_MICROS, requestMicros + MOST_REQUEST_MICROS)
+                : requestMicros + REQUEST_MICROS;
+    }
+
     /** A request begun is answered; a connection that says nothing, or has been told, is closed. */
     private void expire() {
         if (!parser.atStart() && connection.allSent() && !connection.isClosing()) {
@@ -297,7 +328,9 @@
         if (exchange != null) {
             Exchange left = exchange;
             exchange = null;
-            listener.gateway.abandon(left.invocation);
+            if (left.invocation != null) {
+                listener.gateway.abandon(left.invocation);
+            }
         }
     }
 
@@ -328,6 +361,16 @@
             answer(timedOut ? 504 : 502, NONE, null);
         }
 
+        /** Unanswered the provider repeats it, and finds the process that has the job. */
+        void relayed(boolean heard) {
+            if (heard) {
+                answer(204, NONE, null);
+            } else if (exchange == this) {
+                connection.close();
+                closed(connection);
+            }
+        }
+
         private void answer(int status, byte[] body, String retryAfter) {
             if (exchange != this) {
                 return; // The consumer has left.
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -17,6 +17,7 @@
 import postgrade.gateway.Timers;
 import postgrade.http.Connection;
 import postgrade.http.Reactor;
+import postgrade.lifecycle.Lifecycle;
 import postgrade.log.Events;
 
 /** The address where consumers and the providers' call-backs connect. */
@@ -36,43 +37,99 @@
     final Timers timers;
     final Gateway gateway;
     /** The deadline of each class, for requests that state none. */
-    final Map<String, Long> deadlineMicros;
-    private final Set<String> tenants;
+    Map<String, Long> deadlineMicros;
+    private Set<String> tenants;
     private final BooleanSupplier able;
+    private final Lifecycle lifecycle;
     private final Set<ConsumerConnection> connections = new LinkedHashSet<>();
-    private final ServerSocketChannel channel;
-    private final SelectionKey key;
+    private final InetSocketAddress address;
+    final Relay relay;
+    /** Null while nothing is accepted here. */
+    private ServerSocketChannel channel;
+    private SelectionKey key;
     private long bytesHeld;
     private boolean paused;
     /** Since when every place has been taken, 0 if there are places; and whether the log says so. */
     private long shortMicros;
     private boolean told;
-    private boolean stopping;
-    private boolean leaving;
 
     /**
      * @param tenants who may submit jobs; empty where there are none
      * @param able whether an invocation could be served now
+     * @param relay to the other processes of this dispatcher
+     * @param lifecycle decides readiness and when connections end
      */
     public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, Set<String> tenants,
-            BooleanSupplier able, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
+            BooleanSupplier able, Lifecycle lifecycle, Relay relay, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
         this.reactor = reactor;
         this.timers = timers;
         this.gateway = gateway;
         this.deadlineMicros = deadlineMicros;
         this.tenants = tenants;
         this.able = able;
-        channel = ServerSocketChannel.open();
-        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        channel.bind(address, BACKLOG);
-        channel.configureBlocking(false);
-        key = reactor.register(channel, SelectionKey.OP_ACCEPT, this);
+        this.lifecycle = lifecycle;
+        this.relay = relay;
+        listen(address);
+        this.address = (InetSocketAddress) channel.getLocalAddress();
         sweep();
     }
 
+    /**
+     * Throws where any other program listens at the address already. Guards against a second dispatcher that is started
+     * by mistake: with SO_REUSEPORT the two would share the consumers and lose each other's call-backs.
+     */
+    public static void requireFree(InetSocketAddress address) throws IOException {
+        if (address.getPort() != 0) {
+            try (SocketChannel probe = SocketChannel.open()) {
+                probe.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                probe.bind(address);
+            }
+        }
+    }
+
+    private void listen(InetSocketAddress at) throws IOException {
+        channel = ServerSocketChannel.open();
+        try {
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                // From the first start on, or a new version could not listen beside this one.
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            channel.bind(at, BACKLOG);
+            channel.configureBlocking(false);
+            key = reactor.register(channel, SelectionKey.OP_ACCEPT, this);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Ends or begins to listen, as the lifecycle says. Guards the connections that wait: closing the socket resets them,
+     * so all are accepted first, and the socket goes in the same moment. What does not find a place keeps it open.
+     */
+    public void followLifecycle() {
+        try {
+            if (lifecycle.accepts() && channel == null) {
+                listen(address);
+            } else if (!lifecycle.accepts() && channel != null && acceptAll(Integer.MAX_VALUE)) {
+                channel.close();
+                channel = null;
+            }
+        } catch (IOException e) {
+            failed(e);
+        }
+    }
+
+    /** Other classes and tenants hold for jobs that come from now on. */
+    public void settings(Map<String, Long> deadlines, Set<String> knownTenants) {
+        deadlineMicros = deadlines;
+        tenants = knownTenants;
+    }
+
     /** The port listened on, which the system chose where the address gave 0. */
     public int port() throws IOException {
-        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
+        return address.getPort();
     }
 
     @Override
@@ -82,22 +139,29 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
-        for (int i = 0; i < MOST_ACCEPTS; i++) {
+        acceptAll(MOST_ACCEPTS);
+    }
+
+    /** Accepts what waits. True if nothing is left. */
+    private boolean acceptAll(int most) throws IOException {
+        for (int i = 0; i < most; i++) {
             // Guards the connections that usual peers keep: those that have just come and may be of no use are
             // waited for, a moment, before one of the others has to go.
             boolean anyIdle = connections.stream().noneMatch(c -> c.fresh(timers.nowMicros()));
-            if (!reactor.sockets().takeToAccept(anyIdle)) {
+            if (!reactor.sockets().hasToAccept(anyIdle)) {
                 // Guards what waits in the backlog: it is left there, not accepted and closed, until there is a place.
                 pause(true);
                 shortMicros = shortMicros == 0 ? timers.nowMicros() : shortMicros;
-                return;
+                return false;
             }
-            boolean kept = false;
             SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return true;
+            }
+            boolean kept = false;
+            // Only now: guards the connections that would be closed for one that has not come.
+            reactor.sockets().takeToAccept(anyIdle);
             try {
-                if (accepted == null) {
-                    return;
-                }
                 connections.add(new ConsumerConnection(this, accepted));
                 kept = true;
             } catch (IOException e) {
@@ -109,10 +173,11 @@
                 }
             }
         }
+        return false;
     }
 
     private void pause(boolean now) {
-        if (now != paused) {
+        if (now != paused && channel != null) {
             paused = now;
             key.interestOps(paused ? 0 : SelectionKey.OP_ACCEPT);
         }
@@ -146,40 +211,34 @@
     }
 
     private void sweep() {
+        boolean leaves = lifecycle.leaves(timers.nowMicros());
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.sweep(timers.nowMicros());
+            if (leaves) {
+                c.closeIfIdle(); // So that its consumer turns elsewhere.
+            }
         }
         tellOfShortage(timers.nowMicros());
         pause(false); // A provider's connection may have been closed, or one become idle.
         timers.at(timers.nowMicros() + SWEEP_MICROS, this::sweep);
     }
 
+    /** A call-back that came to another process of this dispatcher and was found right there. */
+    public void relayed(byte[] body) {
+        JobEvent.of(body).tell(gateway);
+    }
+
     boolean knowsTenant(String name) {
         return name == null || (tenants.isEmpty() ? Fields.isName(name) : tenants.contains(name));
     }
 
     boolean readyToServe() {
-        return !stopping && able.getAsBoolean();
-    }
-
-    boolean leaving() {
-        return leaving;
-    }
-
-    /** No longer ready, though everything that comes is still served, on connections that stay open. */
-    public void beginStop() {
-        stopping = true;
+        return lifecycle.ready() && able.getAsBoolean();
     }
 
-    /**
-     * Closes the consumers' connections that await no answer, so that they turn elsewhere. Answers from now on ask for
-     * the connection's end.
-     */
-    public void leave() {
-        leaving = true;
-        for (ConsumerConnection c : new ArrayList<>(connections)) {
-            c.closeIfIdle();
-        }
+    /** Answers to consumers end their connections now. */
+    boolean endsConnections() {
+        return lifecycle.endsConnections(timers.nowMicros());
     }
 
     /** Nothing has come in part and no answer is still being written. */
