Test an upgrade with real processes: SIGHUP in the overlap, a killed one, the next at once

Need: the hard cases of an upgrade were tested with two daemons of one process only.

Three processes at one address, driven by their log lines alone: both read again on SIGHUP, the new one outlives the old one's SIGKILL, the next start removes what that left and links, and each ends in order.

--- a/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
@@ -4,7 +4,9 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -201,6 +203,59 @@
         stop(daemon);
     }
 
+    /** Reads a program's log up to a line with this text. */
+    private static void says(BufferedReader log, String text) throws IOException {
+        List<String> before = new ArrayList<>();
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            before.add(line);
+            line = log.readLine();
+        }
+        assertTrue("never said " + text + ": " + before, line != null);
+    }
+
+    private static void signal(String name, Process p) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + p.pid()).start().waitFor());
+    }
+
+    @Test
+    public void realProcessesReadAgainInTheOverlapOutliveAKilledOneAndAreReplacedAgain() throws Exception {
+        List<Process> all = new ArrayList<>();
+        List<BufferedReader> logs = new ArrayList<>();
+        try {
+            for (int i = 0; i < 2; i++) {
+                all.add(program(environment));
+                logs.add(new BufferedReader(new InputStreamReader(all.get(i).getErrorStream())));
+                says(logs.get(i), i == 0 ? "listens on" : "linked with process");
+            }
+            says(logs.get(0), "linked with process");
+            says(logs.get(1), "listens on");
+            for (int i = 0; i < 2; i++) {
+                discovery.next("GET /api/targets?watch=1&from=41 "); // Each handles the signal by now.
+            }
+            for (int i = 0; i < 2; i++) {
+                signal("HUP", all.get(i));
+                says(logs.get(i), "configuration read again");
+            }
+            signal("KILL", all.get(0));
+            says(logs.get(1), "of this dispatcher is gone");
+            assertEquals("the killed one has left its name", 2, links().size());
+            all.add(program(environment));
+            logs.add(new BufferedReader(new InputStreamReader(all.get(2).getErrorStream())));
+            says(logs.get(2), "linked with process");
+            says(logs.get(2), "listens on");
+            assertEquals("which the next start removes", 2, links().size());
+            signal("TERM", all.get(1));
+            says(logs.get(1), "all answered");
+            says(logs.get(2), "of this dispatcher is gone");
+            signal("TERM", all.get(2));
+            says(logs.get(2), "all answered");
+            assertTrue(links().isEmpty());
+        } finally {
+            all.forEach(Process::destroyForcibly);
+        }
+    }
+
     @Test
     public void withoutTheLinkASecondProcessIsRefusedAsTheAddressIsInUse() throws Exception {
         old = started();
