Halve what is left in the buckets when a second process comes, not only their size

Seen: two processes of one gateway admitted 35 jobs of a burst of which 30 were left. The lines at fault: Decide.share capped the old process's tokens at half a burst (20) while the new one had taken half of what was there (15). Ruled out: the new one's part, which Experience.take scales.

A smaller share now scales the tokens. Tests, new and failing without it: one burst between two processes; what is sick, ejected or owes a trial is known to a new process whose clock is another.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -698,6 +698,9 @@
 
     @Override
     public void share(long nowNs, double part) {
+        double keep = Math.min(1, part / share); // The rest of the tokens is the other's now.
+        tenantBuckets.values().forEach(b -> b.tokens *= keep);
+        keyBuckets.values().forEach(b -> b.tokens *= keep);
         share = part;
     }
 
--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -15,6 +15,7 @@
 import postgrade.Dispatcher.Group;
 import postgrade.Dispatcher.Job;
 import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Learnt;
 import postgrade.Dispatcher.ListForm;
 import postgrade.Dispatcher.Load;
 import postgrade.Dispatcher.Outcome;
@@ -490,6 +491,53 @@
         assertEquals("fail " + once, out.last("fail"));
     }
 
+    // ---- Two processes of one gateway.
+
+    private long admitted(Decide d, int jobs) {
+        long refused = out.count("refuse");
+        for (int i = 0; i < jobs; i++) {
+            job(d, 0, "unsafe", "t", null);
+        }
+        return jobs - (out.count("refuse") - refused);
+    }
+
+    @Test
+    void twoProcessesHaveOneBurstBetweenThem() {
+        assertEquals(40, admitted(oneTenant(20, 1), 80));
+        Decide old = oneTenant(20, 1);
+        assertEquals(10, admitted(old, 10));
+        List<Learnt> told = old.learnt(0);
+        old.share(0, 0.5);
+        Decide fresh = oneTenant(20, 1);
+        fresh.share(0, 0.5);
+        fresh.learn(0, told);
+        long both = admitted(old, 80) + admitted(fresh, 80);
+        assertTrue(both <= 30 && both >= 20, both + " after 10 of 40");
+    }
+
+    @Test
+    void aNewProcessKnowsWhoIsSickWhoIsSlowAndWhoOwesATrial() {
+        Decide old = start(settings().cold(0.2, 20 * SECOND).fall(3, SECOND).build(), "s1", "s2", "s3");
+        for (int i = 0; i < 60; i++) {
+            String id = job(old, i, "safe");
+            old.finished(i, id, 0, out.sentTo(id).equals("s2") ? Outcome.ERROR : Outcome.SERVED, true, FREE);
+        }
+        old.list(SECOND, ListForm.CHANGES, List.of(worker("s3", Phase.READY, SECOND)));
+        old.recalled(SECOND, "s3");
+        List<Learnt> told = new ArrayList<>(old.learnt(SECOND));
+        told.add(new Learnt("worker", "unheard of", new double[9]));
+        told.add(new Learnt("of a later version", "x", new double[0]));
+        Decide fresh = new Decide(settings().cold(0.2, 20 * SECOND).fall(3, SECOND).build(), 3, out);
+        long now = 100 * SECOND; // Its clock is another.
+        fresh.list(now, ListForm.STORED, List.of(worker("s1", Phase.READY, 0), worker("s2", Phase.READY, 0),
+                worker("s3", Phase.READY, now)));
+        fresh.learn(now, told);
+        for (int i = 0; i < 20; i++) {
+            assertEquals("s1", out.sentTo(job(fresh, now + i, "safe")), "one is ejected, one cold for a window");
+        }
+        assertEquals("s3", out.sentTo(job(fresh, now + SECOND, "safe")), "the trial is owed still");
+    }
+
     // ---- Rule 4: cold workers.
 
     /** Gateways that know s1 (8 slots, jobs of 300 ms) and hear that s2 has just started cold. */
