Decide in one place who is out, write addresses in one, and share the tests' calls

Relay.NONE and a map in a test had no use.

The pools take their targets from what the roster counts; TargetList writes the addresses it reads; the tests' stage has the calls. The story of call-backs now waits until all its jobs have been sent on.

--- a/core/src/main/java/postgrade/roster/Roster.java
+++ b/core/src/main/java/postgrade/roster/Roster.java
@@ -65,10 +65,6 @@
         return new Worker(w.id(), w.zone(), w.kind(), w.cell(), phase, w.weight(), born);
     }
 
-    public boolean isOut(String id) {
-        return outNs.containsKey(id);
-    }
-
     /** Those that are out, in order. */
     public List<String> out() {
         return List.copyOf(outNs.keySet());
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -60,7 +60,8 @@
      * @param lifecycle decides readiness and when connections end
      */
     public Listener(InetSocketAddress address, Map<String, Long> deadlineMicros, Set<String> tenants,
-            BooleanSupplier able, Lifecycle lifecycle, Relay relay, Gateway gateway, Reactor reactor, Timers timers) throws IOException {
+            BooleanSupplier able, Lifecycle lifecycle, Relay relay, Gateway gateway, Reactor reactor, Timers timers)
+            throws IOException {
         this.reactor = reactor;
         this.timers = timers;
         this.gateway = gateway;
--- a/daemon/src/main/java/postgrade/consumer/Relay.java
+++ b/daemon/src/main/java/postgrade/consumer/Relay.java
@@ -5,19 +5,6 @@
 /** Hands call-backs of jobs that are not known here to the other processes of this dispatcher, where there are any. */
 public interface Relay {
 
-    /** No other process: what is not known here is known nowhere. */
-    Relay NONE = new Relay() {
-        @Override
-        public boolean any() {
-            return false;
-        }
-
-        @Override
-        public void callBack(byte[] body, Consumer<Boolean> done) {
-            done.accept(true);
-        }
-    };
-
     boolean any();
 
     /** @param done told once, true when all others have looked at it, false when that is not known */
--- a/daemon/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -123,9 +123,9 @@
     List<Effective> effective() {
         List<Effective> all = new ArrayList<>();
         all.add(new Effective("name", name, origin("name", "ROUTER_NAME")));
-        all.add(new Effective("listen", text(listen), origin("listen", "ROUTER_LISTEN")));
-        all.add(new Effective("discovery", text(discovery), origin("discovery", "ROUTER_DISCOVERY")));
-        all.add(new Effective("operator", operator == null ? "none" : text(operator),
+        all.add(new Effective("listen", TargetList.text(listen), origin("listen", "ROUTER_LISTEN")));
+        all.add(new Effective("discovery", TargetList.text(discovery), origin("discovery", "ROUTER_DISCOVERY")));
+        all.add(new Effective("operator", operator == null ? "none" : TargetList.text(operator),
                 operator == null ? "default" : origin("operator", "ROUTER_OPERATOR")));
         all.add(new Effective("seed", Long.toHexString(seed), json.get("seed") == null ? "the clock" : "file"));
         all.add(new Effective("limits.sockets", descriptors, json.get("limits") != null
@@ -161,10 +161,6 @@
         return json.get(key) != null && json.get(key).isString() ? "file" : variable;
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     /**
      * Reads the file again that this was read from. Beyond what a start asks it must have each key that it had: one that is
      * missing would fall back to a default that nobody chose, as in a file that somebody is still writing.
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -8,8 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -92,7 +92,7 @@
             gateway.learn(before.learnt());
         }
         try {
-            if (!upgrade.hasPeers()) {
+            if (upgrade.count() == 0) {
                 Listener.requireFree(config.listen);
             }
         } catch (IOException e) {
@@ -160,14 +160,12 @@
 
     private void list(ListForm form, TargetList list) {
         list.warnOfFaulty();
-        List<Target> targets = new ArrayList<>();
         List<Worker> workers = new ArrayList<>();
         if (form != ListForm.CHANGES) {
             told.clear();
         }
         for (Entry e : list.entries()) {
             told.put(e.id(), e);
-            targets.add(new Target(e.id(), e.address(), e.state() == State.READY && !roster.isOut(e.id())));
             Phase phase = switch (e.state()) {
                 case READY -> Phase.READY;
                 case DRAINING -> Phase.DRAINING;
@@ -176,9 +174,14 @@
             long born = e.startedMillis() == 0 ? 0 : loop.fromUnixMillis(e.startedMillis());
             workers.add(new Worker(e.id(), e.zone(), e.kind(), e.cell(), phase, e.weight(), born * NANOS));
         }
-        providers.list(form != ListForm.CHANGES, targets);
+        List<Worker> counted = roster.list(form != ListForm.CHANGES, workers);
+        providers.list(form != ListForm.CHANGES, counted.stream().map(this::target).toList());
         told.values().removeIf(e -> e.state() == State.GONE);
-        gateway.list(form, roster.list(form != ListForm.CHANGES, workers));
+        gateway.list(form, counted);
+    }
+
+    private Target target(Worker w) {
+        return new Target(w.id(), told.get(w.id()).address(), w.phase() == Phase.READY);
     }
 
     // ---- Other processes of this dispatcher.
@@ -305,7 +308,7 @@
     private void recount(String id) {
         Worker w = roster.worker(id);
         if (w != null) {
-            providers.list(false, List.of(new Target(id, told.get(id).address(), w.phase() == Phase.READY)));
+            providers.list(false, List.of(target(w)));
             gateway.list(ListForm.CHANGES, List.of(w));
         }
     }
@@ -345,7 +348,8 @@
                 watch.move(next.discovery);
             } catch (Config.Faulty e) {
                 Events.warn(LOG, "configuration.not-taken").addKeyValue("why", e.getMessage())
-                        .log("configuration not taken over, the former one stays: " + config.file + ": " + e.getMessage());
+                        .log("configuration not taken over, the former one stays: " + config.file + ": "
+                                + e.getMessage());
             }
         });
     }
--- a/daemon/src/main/java/postgrade/daemon/Takeover.java
+++ b/daemon/src/main/java/postgrade/daemon/Takeover.java
@@ -70,7 +70,7 @@
             InetSocketAddress discovery, long standbyAgeMicros, List<Learnt> learnt) {
         JsonArray servers = Json.array();
         for (Entry e : told) {
-            servers.add(Json.object().add("id", e.id()).add("addr", text(e.address())).add("zone", e.zone())
+            servers.add(Json.object().add("id", e.id()).add("addr", TargetList.text(e.address())).add("zone", e.zone())
                     .add("kind", e.kind()).add("cell", e.cell()).add("state", e.state().name().toLowerCase(Locale.ROOT))
                     .add("weight", e.weight()).add("started_ms", e.startedMillis()));
         }
@@ -88,16 +88,12 @@
             figures.add(one);
         }
         return Json.object().add("list", Json.object().add("version", version).add("full", true)
-                .add("servers", servers)).add("discovery", text(discovery)).add("roster", ages)
+                .add("servers", servers)).add("discovery", TargetList.text(discovery)).add("roster", ages)
                 .add("standby", standbyAgeMicros).add("learnt", figures);
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     boolean follows(InetSocketAddress address) {
-        return text(address).equals(discovery);
+        return TargetList.text(address).equals(discovery);
     }
 
     /** Tells the roster what operators have said. */
--- a/daemon/src/main/java/postgrade/discovery/TargetList.java
+++ b/daemon/src/main/java/postgrade/discovery/TargetList.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Writes {@code address:port}, as {@link #address} reads it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Reads {@code address:port}. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/daemon/src/main/java/postgrade/upgrade/Upgrade.java
+++ b/daemon/src/main/java/postgrade/upgrade/Upgrade.java
@@ -42,7 +42,7 @@
     private static final long STATE_MILLIS = 2_500;
     /** An ask that is not answered in this time counts as not heard. */
     private static final long ASK_MICROS = 400_000;
-    /** The most descriptors that the link may take: its own, and those of peers. */
+    /** Guards the descriptors: an upgrade has one peer, one that follows at once two. */
     private static final int MOST_PEERS = 4;
 
     /** Whose link it is. All is called on the loop's thread. */
@@ -141,11 +141,6 @@
         return latest == null ? null : latest.state;
     }
 
-    /** A process of this dispatcher was there when this one joined. */
-    public boolean hasPeers() {
-        return !peers.isEmpty();
-    }
-
     private void connect(Path file) {
         SocketChannel channel = null;
         try {
--- a/daemon/src/test/java/postgrade/daemon/OperatorTest.java
+++ b/daemon/src/test/java/postgrade/daemon/OperatorTest.java
@@ -1,14 +1,12 @@
 package postgrade.daemon;
 
 import static org.junit.Assert.assertEquals;
-import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.util.concurrent.TimeUnit;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.daemon.Peer.Arrived;
@@ -29,11 +27,7 @@
     }
 
     private Arrived call(String line, String body) throws IOException {
-        Socket s = operator();
-        Peer.write(s, line + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-        Arrived answer = Peer.read(s);
-        assertEquals("one call a connection", -1, s.getInputStream().read());
-        return answer;
+        return call(daemon, line, body);
     }
 
     private int out(String id) throws IOException {
@@ -168,15 +162,13 @@
         Socket open = post("e1", "price", "15000m");
         one.next("POST").accept();
         assertEquals(200, call("PUT /standby", "").status());
-        Thread stop = new Thread(daemon::stop);
-        stop.start();
+        Thread stop = stopping(daemon);
         while (!call("GET /status", "").body().contains("stopping")) {
             Thread.onSpinWait();
         }
         refused(call("PUT /active", ""), 503, "stopping");
         callBack("e1", "w1", "done");
         assertEquals(200, Peer.read(open).status());
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse(stop.isAlive());
+        ended(stop);
     }
 }
--- a/daemon/src/test/java/postgrade/daemon/Stage.java
+++ b/daemon/src/test/java/postgrade/daemon/Stage.java
@@ -1,12 +1,17 @@
 package postgrade.daemon;
 
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Rule;
@@ -142,6 +147,30 @@
         chunk(watch, line);
     }
 
+    /** One operator's call, and its answer; one call a connection. */
+    Arrived call(Daemon of, String line, String body) throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), of.operatorPort());
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        Peer.write(s, line + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        Arrived answer = Peer.read(s);
+        assertEquals("one call a connection", -1, s.getInputStream().read());
+        s.close();
+        return answer;
+    }
+
+    /** Tells it to end in order; {@link #ended} waits until it has. */
+    static Thread stopping(Daemon d) {
+        Thread stop = new Thread(d::stop);
+        stop.start();
+        return stop;
+    }
+
+    static void ended(Thread stop) throws InterruptedException {
+        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
+        assertFalse("stopped", stop.isAlive());
+    }
+
     static void chunk(Arrived watch, String line) {
         Peer.write(watch.socket(), Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
     }
--- a/daemon/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/daemon/src/test/java/postgrade/daemon/StoriesTest.java
@@ -612,8 +612,7 @@
         serve(server("w1", one.address(), "ready"));
         Socket before = post("p1", "price", "15000m");
         one.next("POST").accept();
-        Thread stop = new Thread(daemon::stop);
-        stop.start();
+        Thread stop = stopping(daemon);
         while (ready() == 200) {
             Thread.onSpinWait();
         }
@@ -630,8 +629,7 @@
         Peer.write(early, "POST /v1/job-events HTTP/1.1\r\nContent-Length: " + done.length() + "\r\n\r\n" + done);
         assertEquals(204, Peer.read(early).status());
         assertEquals(200, Peer.read(before).status());
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse(stop.isAlive());
+        ended(stop);
     }
 
     @Test
@@ -642,9 +640,8 @@
         one.next("POST").accept();
         callBack("z1", "w1", "done");
         Peer.read(kept);
-        Thread stop = new Thread(daemon::stop);
         long start = System.nanoTime();
-        stop.start();
+        Thread stop = stopping(daemon);
         while (ready() == 200) {
             Thread.onSpinWait();
         }
@@ -661,8 +658,7 @@
         one.next("POST").accept();
         assertEquals(502, Peer.read(kept).status());
         one.next("DELETE /jobs/z3 ").reply("200 OK", "");
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse(stop.isAlive());
+        ended(stop);
     }
 
     @Test
--- a/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
@@ -19,10 +19,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.daemon.Peer.Arrived;
@@ -51,14 +49,6 @@
         return daemon;
     }
 
-    private Arrived call(Daemon of, String line, String body) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", of.operatorPort())) {
-            s.setSoTimeout(Peer.PATIENCE_S * 1000);
-            Peer.write(s, line + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-            return Peer.read(s);
-        }
-    }
-
     private String status(Daemon of) throws IOException {
         return call(of, "GET /status", "").body();
     }
@@ -71,10 +61,7 @@
 
     /** Ends in order; returns once it has. */
     private static void stop(Daemon d) throws InterruptedException {
-        Thread stop = new Thread(d::stop);
-        stop.start();
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse("stopped", stop.isAlive());
+        ended(stopping(d));
     }
 
     /** Jobs at both processes, and call-backs that reach either: each job gets its answer, whoever was called. */
@@ -83,11 +70,16 @@
         old = started();
         started();
         List<Socket> consumers = new ArrayList<>();
-        Map<String, String> at = new HashMap<>();
         for (int i = 0; i < 24; i++) {
             consumers.add(post("u" + i, "price", "15000m"));
-            Arrived job = (i % 2 == 0 ? one : two).nothingArrived() ? null : (i % 2 == 0 ? one : two).next("POST");
-            at.put("u" + i, job == null ? "?" : "");
+        }
+        for (int arrived = 0; arrived < 24; Thread.onSpinWait()) { // Sent on, so that each has a call to end.
+            for (Peer p : List.of(one, two)) {
+                if (!p.nothingArrived()) {
+                    p.next("POST");
+                    arrived++;
+                }
+            }
         }
         for (int i = 0; i < 24; i++) {
             assertEquals(204, callBack("u" + i, "w1", "done"));
@@ -134,10 +126,8 @@
     public void withASuccessorAStopLeavesTheDoorToItAnswersWhatItHasAndEndsEarly() throws Exception {
         old = started();
         Socket before = post("h1", "price", "15000m");
-        String at = one.nothingArrived() ? null : "w1";
         started();
-        Thread stop = new Thread(old::stop);
-        stop.start();
+        Thread stop = stopping(old);
         while (!status(old).contains("handing over")) {
             Thread.onSpinWait();
         }
@@ -149,10 +139,9 @@
         callBack("h1", "w1", "done");
         callBack("h1", "w2", "done");
         Arrived answer = Peer.read(before);
-        assertEquals(at, 200, answer.status());
+        assertEquals(200, answer.status());
         assertEquals("close", answer.header("Connection"));
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse(stop.isAlive());
+        ended(stop);
         assertEquals(200, ready());
         stop(daemon);
     }
@@ -161,16 +150,14 @@
     public void anUpgradeIsUndoneByEndingTheNewProcess() throws Exception {
         old = started();
         started();
-        Thread stop = new Thread(daemon::stop);
-        stop.start();
+        Thread stop = stopping(daemon);
         while (!status(daemon).contains("handing over")) {
             Thread.onSpinWait();
         }
         for (int i = 0; i < 16; i++) {
             assertEquals("the pair is ready", 200, ready());
         }
-        TimeUnit.SECONDS.timedJoin(stop, Peer.PATIENCE_S);
-        assertFalse(stop.isAlive());
+        ended(stop);
         assertEquals(200, ready());
         stop(old);
     }
