Let workers with none of a gateway's jobs tie, chosen in proportion to size

Cause: pick() counted the job itself as load, (1 + wait/mean)/size. At size a gateway holds none of its own jobs on nearly every worker, so the largest size always won: cold workers (warmth 0.14 of 5 slots) and smaller ones never tied and stood idle, and all 14 gateways piled onto the same warm ones. The ties by chance that the cold budget's senders were meant to share never came.

Change: the job itself is left out (Decide.pick, one line); workers with none of ours tie and are drawn by size, as the ties' chance already weighs them. A test with 14 gateways, weights 1 and 3 and one job at a time fails without it (5 of 400 to the small worker) and passes with it.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -307,7 +307,7 @@
             double full = slots(n) * (1 - Math.min(1, (nowNs - n.fullNs) / dearestNs));
             double load = byKey ? rank(keyHash, n) : Math.max(n.own, full) / size;
             if (!byKey && !explores) {
-                load += (1 + waitNs(nowNs, n) / h.cls.meanNs) / size + (tooLate(nowNs, h, n) ? LATE : 0);
+                load += waitNs(nowNs, n) / h.cls.meanNs / size + (tooLate(nowNs, h, n) ? LATE : 0);
                 load += once && n.failures > SUSPECT ? LATE : 0;
             }
             // What few gateways may send must come from these few.
--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -371,6 +371,23 @@
         assertTrue(large >= 28 && large <= 32, large + " of 40");
     }
 
+    /**
+     * Day join+vast: one job at a time, each over before the next, leaves a gateway none of its jobs anywhere.
+     * The job itself counted as load, so the largest worker was always least loaded and the rest idle.
+     */
+    @Test
+    void withNoneOfOursAnywhereJobsGoInProportionToSize() {
+        Decide d = new Decide(settings().gateways(14).build(), 7, out);
+        d.list(0, ListForm.FULL, List.of(new Worker("s1", "z", "small", 0, Phase.READY, 1, 0),
+                new Worker("s2", "z", "large", 0, Phase.READY, 3, 0)));
+        for (int i = 0; i < 400; i++) {
+            String id = job(d, i * MS, "safe");
+            d.finished(i * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        long small = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count();
+        assertTrue(small >= 70 && small <= 130, small + " of 400 to the worker of a quarter of the size");
+    }
+
     /** A weight that is not announced makes a worker one of mean size, not one of no size that gets nothing. */
     @Test
     void workerWithoutWeightCountsAsOneOfMeanSize() {
