Take a warm worker not heard of for long to wait as long as its kind

Faded waits of a gateway's own jobs order the workers, since none of ours is anywhere: a worker whose last wait was long ago looks free, whatever its kind.

Cause: Decide.waitNs faded to no wait at all, where the best guess is the kind's usual wait.

Change: a worker's wait fades to its kind's usual wait before start, unless it is still cold.

--- a/core/src/main/java/postgrade/Decide.java
+++ b/core/src/main/java/postgrade/Decide.java
@@ -328,8 +328,9 @@
     }
 
     /** How long a job would wait there before it starts, by what the latest ones did; old news fades. */
-    private static double waitNs(long nowNs, Node n) {
-        return n.waitedNs * Math.exp((n.waitedAtNs - nowNs) / WAIT_FADE_NS);
+    private double waitNs(long nowNs, Node n) {
+        double keep = Math.exp((n.waitedAtNs - nowNs) / WAIT_FADE_NS);
+        return n.waitedNs * keep + (warmth(nowNs, n) < 1 ? 0 : n.kind.waitedNs * (1 - keep));
     }
 
     private static void waited(long nowNs, Node n, double ns) {
--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -410,8 +410,31 @@
             d.finished(nowNs + waitNs + MS, id, 0, Outcome.SERVED, true, Load.NONE);
         }
         long small = out.said.stream().filter(l -> l.startsWith("send") && l.contains(" small-")).count();
-        // Faded waits of one's own still order the workers, so the kind's wait shows as a shift: 176 without it.
-        assertTrue(small <= 160, small + " of 400 to the kind whose jobs wait ten times as long");
+        // 176 where a worker's wait fades to none; 153 with the kind's wait in the size alone.
+        assertTrue(small <= 40, small + " of 400 to the kind whose jobs wait ten times as long");
+    }
+
+    /** Day join+vast: a new worker's queue is empty, whatever its kind's older workers make jobs wait. */
+    @Test
+    void aColdWorkerIsNotTakenToWaitAsLongAsItsKind() {
+        Decide d = new Decide(settings().tellsStart(true).cold(0.5, 100 * SECOND).fall(3, SECOND).build(), 7, out);
+        d.list(0, ListForm.FULL, List.of(new Worker("old", "z", "k", 0, Phase.READY, 1, 0)));
+        for (int i = 0; i < 40; i++) {
+            long nowNs = i * 100 * MS;
+            String id = job(d, nowNs, "safe");
+            d.started(nowNs + 20 * MS, id, 0);
+            d.finished(nowNs + 21 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        d.list(4 * SECOND, ListForm.CHANGES, List.of(new Worker("new", "z", "k", 0, Phase.READY, 1, 4 * SECOND)));
+        long toNew = 0;
+        for (int i = 0; i < 40; i++) {
+            long nowNs = 10 * SECOND + i * SECOND;
+            String id = job(d, nowNs, "safe");
+            toNew += out.sentTo(id).equals("new") ? 1 : 0;
+            d.started(nowNs + (out.sentTo(id).equals("new") ? 0 : 20 * MS), id, 0);
+            d.finished(nowNs + 21 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        assertTrue(toNew >= 10, toNew + " of 40 to the cold worker");
     }
 
     /** A weight that is not announced makes a worker one of mean size, not one of no size that gets nothing. */
