Count a test's sends to workers in one place of the recorder

Change: Recorder.sendsTo takes a test of the worker's id; the exact-id filters and the one by prefix use it, and the cold-worker test asks once. No assertion or bound changes; the core module's tests pass.

--- a/core/src/test/java/postgrade/DecideTest.java
+++ b/core/src/test/java/postgrade/DecideTest.java
@@ -367,7 +367,7 @@
         for (int i = 0; i < 40; i++) {
             job(d, 1, "safe");
         }
-        long large = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s2")).count();
+        long large = out.sendsTo("s2"::equals);
         assertTrue(large >= 28 && large <= 32, large + " of 40");
     }
 
@@ -384,7 +384,7 @@
             String id = job(d, i * MS, "safe");
             d.finished(i * MS, id, 0, Outcome.SERVED, true, Load.NONE);
         }
-        long small = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count();
+        long small = out.sendsTo("s1"::equals);
         assertTrue(small >= 70 && small <= 130, small + " of 400 to the worker of a quarter of the size");
     }
 
@@ -409,7 +409,7 @@
             d.started(nowNs + waitNs, id, 0);
             d.finished(nowNs + waitNs + MS, id, 0, Outcome.SERVED, true, Load.NONE);
         }
-        long small = out.said.stream().filter(l -> l.startsWith("send") && l.contains(" small-")).count();
+        long small = out.sendsTo(w -> w.startsWith("small-"));
         // 176 where a worker's wait fades to none; 153 with the kind's wait in the size alone.
         assertTrue(small <= 40, small + " of 400 to the kind whose jobs wait ten times as long");
     }
@@ -430,8 +430,9 @@
         for (int i = 0; i < 40; i++) {
             long nowNs = 10 * SECOND + i * SECOND;
             String id = job(d, nowNs, "safe");
-            toNew += out.sentTo(id).equals("new") ? 1 : 0;
-            d.started(nowNs + (out.sentTo(id).equals("new") ? 0 : 20 * MS), id, 0);
+            boolean cold = out.sentTo(id).equals("new");
+            toNew += cold ? 1 : 0;
+            d.started(nowNs + (cold ? 0 : 20 * MS), id, 0);
             d.finished(nowNs + 21 * MS, id, 0, Outcome.SERVED, true, Load.NONE);
         }
         assertTrue(toNew >= 10, toNew + " of 40 to the cold worker");
@@ -446,7 +447,7 @@
         for (int i = 0; i < 20; i++) {
             job(d, 1, "safe");
         }
-        assertEquals(10, out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count());
+        assertEquals(10, out.sendsTo("s1"::equals));
     }
 
     /** Day dar-index big-2: without reports a fleet full of other gateways' jobs looked free to all excess. */
@@ -512,11 +513,11 @@
             }
         }
         d.list(100 * SECOND, ListForm.CHANGES, List.of());
-        long before = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count();
+        long before = out.sendsTo("s1"::equals);
         for (int i = 0; i < 30; i++) {
             job(d, 200 * SECOND, "safe");
         }
-        assertEquals(before, out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s1")).count());
+        assertEquals(before, out.sendsTo("s1"::equals));
     }
 
     // ---- Settings that change.
@@ -1032,11 +1033,11 @@
             d.finished(nowNs + ran, id, 0, Outcome.SERVED, true, Load.NONE);
         }
         nowNs += 10 * SECOND;
-        long before = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s2")).count();
+        long before = out.sendsTo("s2"::equals);
         for (int i = 0; i < 10; i++) {
             job(d, nowNs, "safe");
         }
-        long fast = out.said.stream().filter(l -> l.startsWith("send") && l.endsWith(" s2")).count() - before;
+        long fast = out.sendsTo("s2"::equals) - before;
         assertTrue(fast >= 6 && fast < 10, "to the fast one: " + fast);
     }
 
--- a/core/src/test/java/postgrade/Recorder.java
+++ b/core/src/test/java/postgrade/Recorder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import postgrade.Dispatcher.Actions;
 
 /** Writes actions down as words, oldest first. */
@@ -52,6 +53,12 @@
         return said.stream().filter(s -> s.startsWith(start)).reduce("", (a, b) -> b);
     }
 
+    /** How many attempts went to workers whose id passes the test. */
+    long sendsTo(Predicate<String> workerId) {
+        return said.stream().filter(s -> s.startsWith("send ") && workerId.test(s.substring(s.lastIndexOf(' ') + 1)))
+                .count();
+    }
+
     /** The worker that the job was last sent to, or an empty text. */
     String sentTo(String jobId) {
         String line = last("send " + jobId + " ");
