Choose the stand-in dispatchers' ports below the ephemeral range

Checked: Fleet.chooseAddresses bound port 0 and closed it, so each port came from the ephemeral range (32768-60999 here) and stayed free only until something else took it; between the choice and the dispatcher's own bind, the fleet's workers and discovery agents bind port 0 and the first dispatcher opens connections to the workers, each taking an ephemeral port.

Change: ports come from up to 8,000 just below the system's ephemeral range (read from /proc/sys/net/ipv4/ip_local_port_range, 32768 if not readable), which neither a bind to port 0 nor a connect is given, and each is tried once before it is handed out.

--- a/fleet/src/main/java/postgrade/fleet/net/Fleet.java
+++ b/fleet/src/main/java/postgrade/fleet/net/Fleet.java
@@ -79,18 +79,40 @@
         }
     }
 
+    /**
+     * Ports for the dispatchers, which bind them later in processes of their own. Guarded against: a port from the
+     * ephemeral range, free when chosen, being taken for an outgoing connection (of a worker, a client or another
+     * dispatcher) before its dispatcher listens. So the ports come from below that range, which no bind to port 0 or
+     * connect is given, and each is tried once before it is handed out.
+     */
     private void chooseAddresses(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        for (int d = 0; d < count; d++) {
-            ServerSocket s = new ServerSocket();
-            s.setReuseAddress(true);
-            s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            held.add(s);
-            dispatchers.add(new InetSocketAddress("127.0.0.1", s.getLocalPort()));
+        int[] span = portsBelowEphemeral();
+        int tried = 0;
+        for (int port = span[0] + random.nextInt(span[1] - span[0]); dispatchers.size() < count; port++, tried++) {
+            if (tried == span[1] - span[0]) {
+                throw new IOException("no free port between " + span[0] + " and " + span[1]);
+            }
+            port = port >= span[1] ? span[0] : port;
+            try (ServerSocket s = new ServerSocket()) {
+                s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                dispatchers.add(new InetSocketAddress("127.0.0.1", port));
+            } catch (IOException e) {
+                // Taken: the next one is tried.
+            }
         }
-        for (ServerSocket s : held) {
-            s.close();
+    }
+
+    /** The ports [from, to) for dispatchers: up to 8,000 just below the system's ephemeral range. */
+    static int[] portsBelowEphemeral() {
+        int low = 32768;
+        try {
+            Path range = Path.of("/proc/sys/net/ipv4/ip_local_port_range");
+            low = Integer.parseInt(Files.readAllLines(range).get(0).trim().split("\\s+")[0]);
+        } catch (IOException | RuntimeException e) {
+            // Not Linux, or not readable: the usual bound stands.
         }
+        int to = Math.max(low, 2048);
+        return new int[] {Math.max(1024, to - 8000), to};
     }
 
     /** Where the dispatchers are to listen, in order. */
