Judge the link a stopped dispatcher leaves only once its process has ended

Checked: Daemon.checked() logs "stopped after ... ms, all answered" and calls upgrade.close(), which removes the link, only afterwards; the test looked at the folder as soon as it read the line, between the two.

--- a/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UpgradeTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.daemon.Peer.Arrived;
@@ -237,6 +238,8 @@
             says(logs.get(2), "of this dispatcher is gone");
             signal("TERM", all.get(2));
             says(logs.get(2), "all answered");
+            // The line is written before the link is removed: what the process leaves is judged once it has ended.
+            assertTrue("the last one ends", all.get(2).waitFor(15, TimeUnit.SECONDS));
             assertTrue(links().isEmpty());
         } finally {
             all.forEach(Process::destroyForcibly);
