Walk the stand-in's candidate ports by offset instead of bumping and wrapping one counter

The loop of Fleet.chooseAddresses moved the port, wrapped it and counted tries in three places. It now runs an offset over the span once, taking port from + (first + i) % width, and says after the loop when fewer free ports were found than asked for.

--- a/fleet/src/main/java/postgrade/fleet/net/Fleet.java
+++ b/fleet/src/main/java/postgrade/fleet/net/Fleet.java
@@ -87,12 +87,10 @@
      */
     private void chooseAddresses(int count) throws IOException {
         int[] span = portsBelowEphemeral();
-        int tried = 0;
-        for (int port = span[0] + random.nextInt(span[1] - span[0]); dispatchers.size() < count; port++, tried++) {
-            if (tried == span[1] - span[0]) {
-                throw new IOException("no free port between " + span[0] + " and " + span[1]);
-            }
-            port = port >= span[1] ? span[0] : port;
+        int width = span[1] - span[0];
+        int first = random.nextInt(width);
+        for (int i = 0; i < width && dispatchers.size() < count; i++) {
+            int port = span[0] + (first + i) % width;
             try (ServerSocket s = new ServerSocket()) {
                 s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
                 dispatchers.add(new InetSocketAddress("127.0.0.1", port));
@@ -100,6 +98,9 @@
                 // Taken: the next one is tried.
             }
         }
+        if (dispatchers.size() < count) {
+            throw new IOException("no " + count + " free ports between " + span[0] + " and " + span[1]);
+        }
     }
 
     /** The ports [from, to) for dispatchers: up to 8,000 just below the system's ephemeral range. */
