Write a keyed repeat within its window or not at all, however late its connection comes up

A worker counts an attempt once its last byte has come, and drops repeats only within the window: what comes behind it runs twice. Ruled out: a retry on a connection that is up is written in the turn that decides it; the connect timeout bounds the delay but is not tied to the window.

Change: the module says with an attempt within what time its request has to go out (Actions.send), from the first attempt that may have run; a request whose connection comes up later is not written and ends as not sent.

Tests: DecideTest.keyedRepeatGoesOutWithinItsWindowOrNotAtAllAndOthersWhenever and UnsentTest.aCallWhoseConnectionComesUpBehindItsWindowIsNotWritten; each was seen to fail with its guard off.

--- a/core/src/main/java/postgrade/Dispatcher.java
+++ b/core/src/main/java/postgrade/Dispatcher.java
@@ -88,6 +88,11 @@
         /** Starts an attempt; a job's attempts count from 0. A limit of 0: until the client gives up. */
         void send(String jobId, String workerId, long limitNs);
 
+        /** As above; its request goes out within {@code windowNs}, or not at all: its connection may come up late. */
+        default void send(String jobId, String workerId, long limitNs, long windowNs) {
+            send(jobId, workerId, limitNs);
+        }
+
         void cancel(String jobId, int attempt);
 
         /** Final: not run, trying again is harmless. */
--- a/core/src/main/java/postgrade/gateway/InvokerCall.java
+++ b/core/src/main/java/postgrade/gateway/InvokerCall.java
@@ -8,17 +8,19 @@
     final int number;
     final String providerId;
     final long untilMicros;
+    final long writtenByMicros;
     Providers.Handle handle;
     Timers.Timer timer;
     long beganMicros;
     boolean givingUp;
     Outcome end;
 
-    InvokerCall(Invocation invocation, int number, String providerId, long untilMicros) {
+    InvokerCall(Invocation invocation, int number, String providerId, long untilMicros, long writtenByMicros) {
         this.invocation = invocation;
         this.number = number;
         this.providerId = providerId;
         this.untilMicros = untilMicros;
+        this.writtenByMicros = writtenByMicros;
     }
 
     public String id() {
@@ -47,6 +49,11 @@
         return untilMicros;
     }
 
+    /** After this it may not be written any more: a repeat that comes to its provider later would run again. */
+    public long writtenByMicros() {
+        return writtenByMicros;
+    }
+
     /** No provider has had it: trying again is harmless. */
     boolean sentNowhere() {
         return end == Outcome.NOT_SENT || end == Outcome.UNREACHABLE;
--- a/core/src/main/java/postgrade/gateway/Orders.java
+++ b/core/src/main/java/postgrade/gateway/Orders.java
@@ -32,7 +32,12 @@
 
     @Override
     public void send(String jobId, String workerId, long limitNs) {
-        turn.action(() -> carryOut(jobId, workerId, limitNs));
+        send(jobId, workerId, limitNs, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(String jobId, String workerId, long limitNs, long windowNs) {
+        turn.action(() -> carryOut(jobId, workerId, limitNs, windowNs));
     }
 
     @Override
@@ -82,14 +87,14 @@
         // The daemon watches the list from its start on, whether asked to or not.
     }
 
-    private void carryOut(String id, String providerId, long limitNs) {
+    private void carryOut(String id, String providerId, long limitNs, long windowNs) {
         Invocation in = open.get(id);
         if (in == null) {
             return;
         }
         long now = timers.nowMicros();
         long until = limitNs == 0 ? in.deadlineMicros : Math.min(in.deadlineMicros, now + limitNs / NANOS);
-        InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until);
+        InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until, now + windowNs / NANOS);
         call.beganMicros = now;
         boolean second = in.callsOut > 0 && !in.mayDuplicate;
         in.calls.add(call);
--- a/core/src/main/java/postgrade/policy/Gate.java
+++ b/core/src/main/java/postgrade/policy/Gate.java
@@ -13,7 +13,7 @@
                 || h.cls.is.kind() != null && !h.cls.is.kind().equals(n.info.kind())) {
             return false;
         }
-        Attempt first = h.cls.is.effect() == Effect.SAFE ? null : firstThatMayHaveRun(h);
+        Attempt first = firstThatBinds(h);
         if (first != null && (h.cls.is.effect() == Effect.UNSAFE
                 || !h.cls.is.group().shared(first.node.info, n.info)
                 || nowNs + Retries.SWEEP_NS >= first.sentNs + h.cls.is.windowNs())) {
@@ -23,30 +23,31 @@
     }
 
     boolean mayRefuse(Held h) {
-        Effect effect = h.cls.is.effect();
-        boolean harmless = effect == Effect.SAFE || effect == Effect.KEYED && h.cls.is.group() == Group.ALL;
-        return !h.answered && (harmless || firstThatMayHaveRun(h) == null);
+        boolean dropsRepeats = h.cls.is.effect() == Effect.KEYED && h.cls.is.group() == Group.ALL;
+        return !h.answered && (dropsRepeats || firstThatBinds(h) == null);
     }
 
-    /** The earliest attempt not proved never to have run; later ones stay within its group. */
-    private static Attempt firstThatMayHaveRun(Held h) {
-        for (int i = 0; i < h.sent; i++) {
-            if (!h.attempts[i].ended || !h.attempts[i].neverRan) {
-                return h.attempts[i];
-            }
+    /** The earliest attempt that may have run: later ones stay in its group and window. None if safe. */
+    private static Attempt firstThatBinds(Held h) {
+        int i = h.cls.is.effect() == Effect.SAFE ? h.sent : 0;
+        while (i < h.sent && h.attempts[i].neverRan) {
+            i++;
         }
-        return null;
+        return i < h.sent ? h.attempts[i] : null;
     }
 
     void send(long nowNs, Held h, Node n) {
         if (h.out > 0 && !my.set.mayDuplicate || !maySend(nowNs, h, n)) {
             return;
         }
+        Attempt first = firstThatBinds(h);
+        long windowNs = first == null ? Long.MAX_VALUE
+                : first.sentNs + h.cls.is.windowNs() - Retries.SWEEP_NS - nowNs;
         cold.spend(nowNs, h, n);
         n.untried = false;
         n.averageUsed(nowNs, Sight.REPORT_LAG_NS);
         h.begin(nowNs, n);
-        my.out.send(h.job.id(), n.id, 0);
+        my.out.send(h.job.id(), n.id, 0, windowNs);
     }
 
     /** The final answer: a refusal where trying again is harmless, a failure otherwise. */
--- a/core/src/test/java/postgrade/policy/DecideTest.java
+++ b/core/src/test/java/postgrade/policy/DecideTest.java
@@ -322,6 +322,23 @@
         assertEquals(1, out.count("refuse " + id), "every worker drops repeats, so a refusal stays harmless");
     }
 
+    /** Its connection may come up late: what was decided within the window would come to its worker behind it. */
+    @Test
+    void keyedRepeatGoesOutWithinItsWindowOrNotAtAllAndOthersWhenever() {
+        Decide d = start(settings().build(), "s1", "s2", "s3");
+        String id = job(d, 0, "keyed");
+        assertEquals(Long.MAX_VALUE, out.windowNs, "it has not run");
+        d.finished(SECOND, id, 0, Outcome.UNREACHABLE, false, Load.NONE);
+        assertEquals(Long.MAX_VALUE, out.windowNs, "nor now");
+        d.finished(3 * SECOND, id, 1, Outcome.RESET, false, Load.NONE);
+        assertEquals(3, out.count("send " + id));
+        assertEquals(SECOND + 30 * SECOND - 3 * SECOND - 50 * MS, out.windowNs, "from the first that may have run");
+        id = job(d, 4 * SECOND, "safe");
+        d.finished(4 * SECOND, id, 0, Outcome.RESET, false, Load.NONE);
+        assertEquals(2, out.count("send " + id));
+        assertEquals(Long.MAX_VALUE, out.windowNs);
+    }
+
     @Test
     void attemptsAreBounded() {
         Decide d = start(settings().build(), "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8");
--- a/core/src/test/java/postgrade/policy/Recorder.java
+++ b/core/src/test/java/postgrade/policy/Recorder.java
@@ -8,12 +8,20 @@
 /** Writes actions down as words, oldest first. */
 final class Recorder implements Actions {
     final List<String> said = new ArrayList<>();
+    /** Within which the last attempt's request has to go out. */
+    long windowNs;
 
     @Override
     public void send(String jobId, String workerId, long limitNs) {
         said.add("send " + jobId + " " + workerId);
     }
 
+    @Override
+    public void send(String jobId, String workerId, long limitNs, long within) {
+        windowNs = within;
+        send(jobId, workerId, limitNs);
+    }
+
     @Override
     public void cancel(String jobId, int attempt) {
         said.add("cancel " + jobId + " " + attempt);
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -90,17 +90,29 @@
     /** A link has come up or has been answered. */
     void free(Link link) {
         link.idleMicros = 0;
-        if (waiting.isEmpty()) {
+        Request next = nextInTime();
+        if (next == null) {
             link.freeMicros = timers.nowMicros();
             idle.add(link);
             link.connection.idle(true, false);
             // Guards against the provider's own closing of idle connections: what is written then is reset.
             link.timer = timers.at(timers.nowMicros() + keepAlive.limitMicros(timers.nowMicros()), link::fail);
         } else {
-            link.carry(waiting.poll());
+            link.carry(next);
         }
     }
 
+    /** Guards what must not run twice: a repeat whose connection has come up too late is not written. */
+    private Request nextInTime() {
+        Request next = waiting.poll();
+        while (next != null && next.isLate(timers.nowMicros())) {
+            next.over = true;
+            next.broken(Request.Break.TOO_LATE);
+            next = waiting.poll();
+        }
+        return next;
+    }
+
     void cameUp(Link link) {
         link.up = true;
         link.timer.cancel();
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -173,6 +173,11 @@
             return true;
         }
 
+        @Override
+        boolean isLate(long nowMicros) {
+            return nowMicros > call.writtenByMicros();
+        }
+
         private void end(Outcome outcome) {
             if (!ended) {
                 ended = true;
@@ -211,7 +216,7 @@
             reached = how == Break.AFTER_LAST_BYTE;
             end(switch (how) {
                 case NEVER_WRITTEN -> Outcome.UNREACHABLE;
-                case DRAINED -> Outcome.NOT_SENT;
+                case DRAINED, TOO_LATE -> Outcome.NOT_SENT;
                 case AFTER_LAST_BYTE -> Outcome.RESET;
             });
         }
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -8,7 +8,7 @@
 
     static final byte[] NONE = {};
 
-    enum Break { NEVER_WRITTEN, DRAINED, AFTER_LAST_BYTE }
+    enum Break { NEVER_WRITTEN, DRAINED, TOO_LATE, AFTER_LAST_BYTE }
 
     private final byte[] head;
     private byte[] body;
@@ -33,6 +33,11 @@
     /** Only new work is kept from a provider that drains; giving up goes on. */
     abstract boolean isNewWork();
 
+    /** It may not be written any more. */
+    boolean isLate(long nowMicros) {
+        return false;
+    }
+
     abstract void answered(Message response);
 
     abstract void broken(Break how);
--- a/daemon/src/test/java/postgrade/daemon/UnsentTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UnsentTest.java
@@ -64,6 +64,20 @@
         }
     }
 
+    /** A repeat that comes to its worker after the window in which that drops repeats would run again. */
+    @Test
+    public void aCallWhoseConnectionComesUpBehindItsWindowIsNotWritten() throws Exception {
+        serveScripted(server("w1", one.address(), "ready"));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0, 0); // A connection comes up in a later turn.
+        script.onFinished = (id, outcome) -> script.out.fail(id);
+        Socket consumer = post("k1", "price", "15000m");
+        hears("finished k1 0 NOT_SENT false");
+        refused(consumer);
+        script.onJob = job -> script.out.send(job.id(), "w1", 0, TimeUnit.MINUTES.toNanos(1));
+        post("k2", "price", "15000m");
+        assertEquals("the first one left nothing behind", "k2", one.next("POST").header("X-Request-Id"));
+    }
+
     @Test
     public void whatAWorkerHasHadMayHaveRunAndIsFailed() throws Exception {
         serveScripted(server("w1", one.address(), "ready"));
