Tell workers the time left when an attempt is written, not when it was decided on

Cause: ProviderPools.send made the whole head, X-Deadline with it, in the moment of the decision.

Change: a request to a worker makes its head as it is written (Request.head, Call.head). The fence stays that of the decision.

AttemptStage, the stage for such stories, uses the turned loop of the watch's tests, which is public for it.

--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -135,15 +135,9 @@
         Pool pool = pools.get(call.providerId());
         if (pool == null || !pool.ready) {
             gateway.ended(call, Outcome.NOT_SENT);
-            return new Call(null, call, Request.NONE);
+            return new Call(null, call, null);
         }
-        Payload p = call.payload();
-        byte[] head = MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
-                .header("X-Request-Id", call.id())
-                .header("X-Fence", fences.of(call.jobClass(), call.tenant(), call.providerId()))
-                .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
-                .header("Content-Type", p.contentType()).headFor(p.body());
-        Call sent = new Call(pool, call, head);
+        Call sent = new Call(pool, call, fences.of(call.jobClass(), call.tenant(), call.providerId()));
         pool.users++;
         pool.send(sent);
         return sent;
@@ -157,15 +151,27 @@
     private final class Call extends Request implements Handle {
         private final Pool pool;
         private final InvokerCall call;
+        private final String fence;
         private boolean accepted;
         private boolean reached;
         private boolean ended;
         private boolean givenUp;
 
-        Call(Pool pool, InvokerCall call, byte[] head) {
-            super(head, call.payload().body());
+        /** @param fence the claim it goes with, or null */
+        Call(Pool pool, InvokerCall call, String fence) {
+            super(call.payload().body());
             this.pool = pool;
             this.call = call;
+            this.fence = fence;
+        }
+
+        @Override
+        byte[] head() {
+            Payload p = call.payload();
+            return MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
+                    .header("X-Request-Id", call.id()).header("X-Fence", fence)
+                    .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
+                    .header("Content-Type", p.contentType()).headFor(p.body());
         }
 
         @Override
@@ -319,8 +325,12 @@
 
         private final class Delete extends Request {
             Delete() {
-                super(MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody(),
-                        NONE);
+                super(NONE);
+            }
+
+            @Override
+            byte[] head() {
+                return MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody();
             }
 
             @Override
@@ -369,10 +379,15 @@
         private final Pool pool;
 
         Probe(Pool pool) {
-            super(MessageWriter.request("GET", "/-/healthy").header("Host", pool.host()).noBody(), NONE);
+            super(NONE);
             this.pool = pool;
         }
 
+        @Override
+        byte[] head() {
+            return MessageWriter.request("GET", "/-/healthy").header("Host", pool.host()).noBody();
+        }
+
         @Override
         boolean isNewWork() {
             return true;
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -10,22 +10,23 @@
 
     enum Break { NEVER_WRITTEN, DRAINED, AFTER_LAST_BYTE }
 
-    private final byte[] head;
     private byte[] body;
     /** The link that carries it, null while it waits for one and after its end. */
     Link link;
     boolean over;
 
-    Request(byte[] head, byte[] body) {
-        this.head = head;
+    Request(byte[] body) {
         this.body = body;
     }
 
+    /** Made as it is written: what it says of the time left must hold then, however long it has waited. */
+    abstract byte[] head();
+
     void writeTo(Connection c) {
         if (body.length == 0) {
-            c.write(head);
+            c.write(head());
         } else {
-            c.write(head, body);
+            c.write(head(), body);
         }
         body = NONE; // A call may last for seconds after it is written.
     }
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/AttemptStage.java
@@ -0,0 +1,178 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.After;
+import org.junit.Before;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Effect;
+import postgrade.discovery.Hand;
+import postgrade.gateway.Consumer;
+import postgrade.gateway.Gateway;
+import postgrade.gateway.Invocation;
+import postgrade.gateway.JobState;
+import postgrade.gateway.Payload;
+import postgrade.provider.ProviderPools;
+import postgrade.provider.Target;
+
+/**
+ * The gateway and its pools on a loop that the test turns: sockets are real, time passes when the test says so, and what is
+ * ready is served before the module decides, as in the daemon's own loop.
+ */
+public abstract class AttemptStage {
+
+    static final long MILLI = 1_000;
+    static final long DEADLINE = 15_000 * MILLI;
+    /** As long as a worker needs in earnest to come up, answer or say something more. */
+    static final long SOON = 5 * MILLI;
+
+    final Hand hand;
+    final List<String> answers = new ArrayList<>();
+    final List<Socket> sockets = new ArrayList<>();
+    ServerSocket one;
+    ServerSocket two;
+    Script script;
+    Gateway gateway;
+    ProviderPools pools;
+
+    AttemptStage() throws IOException {
+        hand = new Hand();
+        one = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        two = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    boolean mayDuplicate() {
+        return false;
+    }
+
+    @Before
+    public void begin() {
+        gateway = new Gateway(out -> script = new Script(out), mayDuplicate(), 100, hand, (event, message, thrown) -> { });
+        pools = new ProviderPools(gateway, hand, hand, 2_000 * MILLI, 10_000 * MILLI);
+        gateway.connect(pools);
+        list(target("w1", one, true), target("w2", two, true));
+        script.onJob = job -> script.out.send(job.id(), "w1", 0);
+    }
+
+    @After
+    public void end() throws IOException {
+        for (Socket s : sockets) {
+            s.close();
+        }
+        one.close();
+        two.close();
+    }
+
+    static Target target(String id, ServerSocket at, boolean ready) {
+        return new Target(id, new InetSocketAddress(at.getInetAddress(), at.getLocalPort()), ready);
+    }
+
+    void list(Target... targets) {
+        pools.list(false, List.of(targets));
+    }
+
+    static JobClass keyed(String name, long windowMicros) {
+        JobClass like = JobClass.of(name, Effect.KEYED);
+        return new JobClass(name, like.effect(), like.group(), windowMicros * 1000, like.aimNs(), 0, 1, 0, null, false);
+    }
+
+    /** A consumer's job, taken over but not yet decided on. */
+    Invocation open(String id, String jobClass) {
+        Invocation in = new Invocation(id, jobClass, null, null, 1, 0, hand.nowMicros() + DEADLINE,
+                new Payload("POST", "/api", null, "job".getBytes(StandardCharsets.US_ASCII)), new Consumer() {
+                    @Override
+                    public void serve(byte[] result) {
+                        answers.add(id + " served");
+                    }
+
+                    @Override
+                    public void reject(long retryAfterMicros) {
+                        answers.add(id + " rejected");
+                    }
+
+                    @Override
+                    public void fail(boolean timedOut) {
+                        answers.add(id + " failed");
+                    }
+                });
+        gateway.open(in);
+        return in;
+    }
+
+    Invocation open(String id) {
+        return open(id, "price");
+    }
+
+    /** The rest of a turn whose channels have been served. */
+    void turn() {
+        hand.passes(0, () -> false);
+        gateway.turn();
+    }
+
+    /** Time passes, with a turn at its end. */
+    void pass(long micros) {
+        hand.passes(micros, () -> false);
+        gateway.turn();
+    }
+
+    /** Turns, none of which lets time pass, until something has come on the connection. */
+    void arrives(Socket s) throws IOException {
+        hand.until(() -> {
+            turn();
+            return available(s) > 0;
+        });
+    }
+
+    /** A worker's side of the next connection to it. */
+    Socket accept(ServerSocket at) throws IOException {
+        Socket s = at.accept();
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        return s;
+    }
+
+    /** The next connection to it, with the request that has come on it. */
+    Peer.Arrived request(ServerSocket at) throws IOException {
+        return request(accept(at));
+    }
+
+    Peer.Arrived request(Socket s) throws IOException {
+        arrives(s);
+        return Peer.read(s);
+    }
+
+    /** The worker says this, and it is read before the turn goes on. */
+    void says(Socket worker, String text) throws IOException {
+        hand.heard(() -> Peer.write(worker, text));
+    }
+
+    void reports(String id, String from, JobState state) {
+        gateway.report(id, from, state, 0, new byte[0]);
+    }
+
+    /** Ends of attempts that the module has heard of. */
+    List<String> ends() {
+        return script.heard.stream().filter(h -> h.startsWith("finished")).toList();
+    }
+
+    void hasHeard(String... expected) {
+        assertEquals(List.of(expected), ends());
+    }
+
+    static int available(Socket s) {
+        try {
+            return s.getInputStream().available();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+}
--- a/daemon/src/test/java/postgrade/discovery/Hand.java
+++ b/daemon/src/test/java/postgrade/discovery/Hand.java
@@ -17,7 +17,7 @@
 import postgrade.http.SocketBudget;
 
 /** A loop turned by hand: sockets are real, time passes only when the test says so. */
-final class Hand implements Reactor, Timers {
+public final class Hand implements Reactor, Timers {
 
     private final Selector selector;
     private final SocketBudget sockets = new SocketBudget(100);
@@ -40,12 +40,12 @@
         }
     }
 
-    Hand() throws IOException {
+    public Hand() throws IOException {
         selector = Selector.open();
     }
 
     /** Serves sockets until it is so; time stands still. */
-    void until(BooleanSupplier isSo) throws IOException {
+    public void until(BooleanSupplier isSo) throws IOException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (!isSo.getAsBoolean()) {
             assertTrue("in time", System.nanoTime() < end);
@@ -70,24 +70,24 @@
     }
 
     /** Connections that are open or coming up. */
-    long open() {
+    public long open() {
         return channels.stream().filter(SelectableChannel::isOpen).count();
     }
 
     /** Does something that a socket hears of, and serves that. */
-    void heard(Io something) throws IOException {
+    public void heard(Io something) throws IOException {
         int before = served;
         something.run();
         until(() -> served > before);
     }
 
     /** What a peer does. */
-    interface Io {
+    public interface Io {
         void run() throws IOException;
     }
 
     /** Time passes; returns early, at its time, once a task has made it so. */
-    boolean passes(long micros, BooleanSupplier isSo) {
+    public boolean passes(long micros, BooleanSupplier isSo) {
         long end = nowMicros + micros;
         while (!due.isEmpty() && due.peek().whenMicros <= end) {
             Due next = due.poll();
