Story: discovery is opened again while every descriptor is taken and each free one wanted

Found right: SocketBudget keeps two places for discovery alone. FullHouseTest fills all 62 others with busy connections, has a job ask for one more in every turn, ends the watch, and sees the drain told on the next one. Seen to fail with no place kept: the job takes the place that the watch gave up.

--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/FullHouseTest.java
@@ -0,0 +1,69 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** Every descriptor is taken, and each one that comes free is wanted. */
+public class FullHouseTest extends Stage {
+
+    private static final int PLACES = 64;
+    private static final int ACCEPTED = PLACES * 3 / 4;
+    private static final int OF_DISCOVERY = 2;
+    /** Far more turns than the watch's pause has, and few enough to remember each. */
+    private static final int MOST_WANTS = 200_000;
+    private volatile int wants;
+
+    private void hears(String expected) throws InterruptedException {
+        String heard;
+        do {
+            heard = script.heard.poll(Peer.PATIENCE_S, TimeUnit.SECONDS);
+        } while (heard != null && !heard.equals(expected));
+        assertEquals(expected, heard);
+    }
+
+    /** A list that cannot be followed lets jobs go to workers that drain. */
+    @Test
+    public void discoveryIsStillOpenedAgainAndHeard() throws Exception {
+        descriptors = PLACES + 32;
+        serveScripted(server("w1", one.address(), "ready"));
+        String last = "busy" + (ACCEPTED - 1);
+        script.onJob = job -> {
+            if (job.id().equals(last)) { // Now all connections to workers at once.
+                for (int i = 1; i < ACCEPTED; i++) {
+                    script.out.send("busy" + i, "w1", 0);
+                }
+            }
+        };
+        script.onFinished = (id, outcome) -> {
+            if (id.equals(last) && wants++ < MOST_WANTS) {
+                script.out.send(id, "w1", 0); // In each turn it wants a connection.
+            }
+        };
+        Arrived watch = discovery.next("GET /api/targets?watch=1&from=41 ");
+        Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(watch, json(42, false, server("w2", two.address(), "ready")));
+        hears("list CHANGES [w2 READY]");
+        for (int i = 1; i < ACCEPTED; i++) { // The watch has one of them.
+            post("busy" + i, "price", "600000m");
+            hears("job busy" + i);
+        }
+        for (int i = 0; i < PLACES - OF_DISCOVERY - ACCEPTED; i++) {
+            one.next("POST"); // Which says nothing to it, and keeps its connection.
+        }
+        for (int i = 0; i < 10; i++) {
+            connect(); // And more wait to be accepted.
+        }
+        hears("finished " + last + " 0 UNREACHABLE false");
+        assertTrue("still wanted", wants < MOST_WANTS);
+        watch.socket().close();
+        watch = discovery.next("GET /api/targets?watch=1&from=42 ");
+        Peer.write(watch.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(watch, json(43, false, server("w1", one.address(), "draining")));
+        hears("list CHANGES [w1 DRAINING]");
+        assertTrue("wanted to the end", wants < MOST_WANTS);
+    }
+}
