Look into the socket before a client is sent for, let go or ended with the process

What lies in a socket was known only as of the turn's select, and one read of it: - Orders.carryOut and Pool.nextInTime began an attempt though the client's end lay in the socket: behind a second read, come since the select, or on a connection paused after an error (ConsumerConnection.received).

Connection.look reads all that has come and the end behind it. It is asked before an attempt is carried out and before it is written to a connection that came up late, before a resting connection is ended (by ending our side, and waiting for the peer's) or evicted, and for all connections and the backlog before the end, which waits 50 ms for what has just been accepted. The process ends when no connection is left, 50 ms before SIGKILL at the latest; requests in part are rejected 0.3 s before it. Nobody is told to leave before 0.5 s. A connection is not paused while a job waits on it.

The daemon's 134 tests pass. On the program before, LeavingTest fails in five of its six stories, and ShutdownCrossingTest in nine of its ten. Mutants, each with one mechanism off, fail: the end without emptied (2), no look before ending (1), closing at once (1), evicting unseen (1), dispatching unseen (4), writing late unseen (1), pausing under a job (1), requests in part kept (1), waiting beyond SIGKILL (1), not waiting for what has just come (1), leaving at once on short deadlines (1).

HandOverTest: its last start was seen to end because a socket that stopped dispatchers of the same test had left open was in its way. They close it now; the start is seen to serve instead, and what it forgets is checked as before.

--- a/core/src/main/java/postgrade/gateway/Consumer.java
+++ b/core/src/main/java/postgrade/gateway/Consumer.java
@@ -1,6 +1,6 @@
 package postgrade.gateway;
 
-/** Who waits for an invocation's final answer. Exactly one of these is called, once. */
+/** Who waits for an invocation's final answer. Exactly one of the first three is called, once. */
 public interface Consumer {
 
     void serve(byte[] result);
@@ -10,4 +10,9 @@
 
     /** @param timedOut the deadline has passed */
     void fail(boolean timedOut);
+
+    /** Has left by now, seen or not. Asked before anything is sent for it, when the loop may be late. */
+    default boolean hasLeft() {
+        return false;
+    }
 }
--- a/core/src/main/java/postgrade/gateway/InvokerCall.java
+++ b/core/src/main/java/postgrade/gateway/InvokerCall.java
@@ -54,6 +54,11 @@
         return writtenByMicros;
     }
 
+    /** Its consumer has its answer or has left by now, seen or not: nothing more may be written for it. */
+    public boolean unwanted() {
+        return invocation.answered || invocation.consumer.hasLeft();
+    }
+
     /** No provider has had it: trying again is harmless. */
     boolean sentNowhere() {
         return end == Outcome.NOT_SENT || end == Outcome.UNREACHABLE;
--- a/core/src/main/java/postgrade/gateway/Orders.java
+++ b/core/src/main/java/postgrade/gateway/Orders.java
@@ -99,7 +99,8 @@
         boolean second = in.callsOut > 0 && !in.mayDuplicate;
         in.calls.add(call);
         in.callsOut++;
-        if (in.answered || second || until <= now) {
+        // Guards the providers: the consumer's end may have come since the loop last looked, or lie behind other bytes.
+        if (second || until <= now || call.unwanted()) {
             if (second) {
                 faults.fault(Faults.SECOND_CALL,
                         "the module asked for a second call of a job that has one out; not sent", null);
--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -61,6 +61,8 @@
     /** Requests that were of use, whatever their answer. */
     private int useful;
     private boolean turnedAway;
+    /** When the last byte of all was sent and our side ended, 0 before. */
+    private long endedMicros;
 
     ConsumerConnection(Listener listener, SocketChannel channel) throws IOException {
         this.listener = listener;
@@ -96,8 +98,8 @@
             account();
         }
         // Guards the loop's time: who sends the same rubbish as soon as it is turned away is read from again at the
-        // next sweep only.
-        connection.pause(turnedAway && !connection.isClosing());
+        // next sweep only. But whoever waits for a job's answer may leave, and that must be seen at once.
+        connection.pause(turnedAway && exchange == null && !connection.isClosing());
     }
 
     /** Takes requests one after another, as long as each is answered at once. */
@@ -123,7 +125,7 @@
         }
         parsing = false;
         ahead = ByteBuffer.allocate(0);
-        if (bytes.hasRemaining()) {
+        if (bytes.hasRemaining() && !connection.isClosing()) { // What comes behind the last answer is never sent on.
             ahead = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
         }
         account();
@@ -236,8 +238,11 @@
             return;
         }
         boolean awaited = useful == 0 || !parser.atStart();
-        long due = connection.isClosing() ? activeMicros + LINGER_MICROS
-                : !connection.allSent() ? activeMicros + STALL_MICROS
+        if (endedMicros == 0 && connection.isClosing() && connection.allSent()) {
+            endedMicros = nowMicros;
+        }
+        long due = !connection.allSent() ? activeMicros + STALL_MICROS
+                : connection.isClosing() ? endedMicros + LINGER_MICROS
                 : awaited ? awaitedUntil() : activeMicros + IDLE_MICROS;
         if (nowMicros >= due) {
             expire();
@@ -259,14 +264,30 @@
                 : requestMicros + REQUEST_MICROS;
     }
 
-    /** A request begun is answered; a connection that says nothing, or has been told, is closed. */
+    /** A request begun is answered; a connection that says nothing is ended; one that has been told so is closed. */
     private void expire() {
-        if (!parser.atStart() && connection.allSent() && !connection.isClosing()) {
+        if (connection.isClosing() || !connection.allSent()) {
+            connection.close();
+            listener.closed(this);
+        } else if (!parser.atStart()) {
             parser = MessageParser.ofRequests();
             answer(408, "the request has not come whole\n", false);
         } else {
-            connection.close();
-            listener.closed(this);
+            leaveIfResting(true);
+        }
+    }
+
+    /** Takes what has come, the peer's end too, though the loop has not come to it yet. */
+    void look() {
+        connection.look();
+    }
+
+    /** A request that has come in part is rejected, and what comes of it is passed over. */
+    void refuseUnfinished() {
+        if (exchange == null && !parser.atStart() && !connection.isClosing()) {
+            parser = MessageParser.ofRequests();
+            write(429, NONE, seconds(FULL_RETRY_MICROS), false);
+            account();
         }
     }
 
@@ -275,12 +296,18 @@
         return useful == 0 && nowMicros - requestMicros < FRESH_MICROS;
     }
 
-    /** Not one that has carried no job yet: a provider's call-back, which we still wait for, may be on its way. */
-    void closeIfIdle() {
-        if (!busy() && ofConsumer) {
-            connection.close();
-            listener.closed(this);
-            account();
+    /**
+     * Ends our side if nothing is under way; the peer ends its own, or is given the time to. Guards the request that comes
+     * in this moment, which is served, and the last answer: a close over unread bytes resets the connection.
+     *
+     * @param all also one that has carried no job yet; a provider's call-back, which we still wait for, may be on its way
+     */
+    void leaveIfResting(boolean all) {
+        if ((all || ofConsumer) && !busy() && !connection.isClosing()) {
+            look();
+            if (!busy()) {
+                connection.closeWhenSent();
+            }
         }
     }
 
@@ -301,6 +328,11 @@
         leave();
     }
 
+    private static String seconds(long micros) {
+        long millis = (micros + 999) / 1000;
+        return millis == 0 ? null : String.format(Locale.ROOT, "%d.%03d", millis / 1000, millis % 1000);
+    }
+
     private void leave() {
         if (exchange != null) {
             Exchange left = exchange;
@@ -328,9 +360,7 @@
 
         @Override
         public void reject(long retryAfterMicros) {
-            long millis = (retryAfterMicros + 999) / 1000;
-            answer(429, NONE, millis == 0 ? null : String.format(Locale.ROOT, "%d.%03d", millis / 1000,
-                    millis % 1000));
+            answer(429, NONE, seconds(retryAfterMicros));
         }
 
         @Override
@@ -338,6 +368,14 @@
             answer(timedOut ? 504 : 502, NONE, null);
         }
 
+        @Override
+        public boolean hasLeft() {
+            if (exchange == this) {
+                look(); // The end may lie in the socket, behind other bytes or while nothing is read from it.
+            }
+            return exchange != this;
+        }
+
         /** Unanswered the provider repeats it, and finds the process that has the job. */
         void relayed(boolean heard) {
             if (heard) {
--- a/daemon/src/main/java/postgrade/consumer/Listener.java
+++ b/daemon/src/main/java/postgrade/consumer/Listener.java
@@ -259,7 +259,7 @@
         for (ConsumerConnection c : new ArrayList<>(connections)) {
             c.sweep(timers.nowMicros());
             if (leaves) {
-                c.closeIfIdle(); // So that its consumer turns elsewhere.
+                c.leaveIfResting(false); // So that its consumer turns elsewhere.
             }
         }
         tellOfShortage(timers.nowMicros());
@@ -290,6 +290,38 @@
         return connections.stream().noneMatch(ConsumerConnection::busy);
     }
 
+    /** SIGKILL is near: requests that have come in part would be whole too late. */
+    public void refuseUnfinished() {
+        new ArrayList<>(connections).forEach(ConsumerConnection::refuseUnfinished);
+    }
+
+    /**
+     * Ends the connections that are left, once all is answered and none is busy. What waits in the backlog, or has come and
+     * has not been read, is served first: this is to be asked again. True when no connection is left: each peer has ended
+     * its own side, which it does once it has read all, or has been given the time to.
+     */
+    public boolean emptied() {
+        try {
+            if (channel != null && !acceptAll(Integer.MAX_VALUE)) {
+                return false;
+            }
+            new ArrayList<>(connections).forEach(ConsumerConnection::look);
+            if (!quiet() || connections.stream().anyMatch(c -> c.fresh(timers.nowMicros()))) {
+                return false;
+            }
+            lifecycle.closing();
+            if (channel != null) {
+                channel.close();
+                channel = null;
+            }
+        } catch (IOException e) {
+            failed(e);
+            return false;
+        }
+        new ArrayList<>(connections).forEach(c -> c.leaveIfResting(true));
+        return connections.isEmpty();
+    }
+
     @Override
     public void failed(Exception e) {
         // Guards the loop: an accept may fail for want of descriptors, and the listener must outlive it.
--- a/daemon/src/main/java/postgrade/daemon/Ending.java
+++ b/daemon/src/main/java/postgrade/daemon/Ending.java
@@ -73,8 +73,14 @@
         if (late.isPresent()) {
             // Guards the one answer: what SIGKILL finds unanswered of these is lost.
             gateway.concludeSince(late.getAsLong());
+            if (lifecycle.mayEnd(now)) {
+                listener.refuseUnfinished();
+            }
         }
-        if (lifecycle.mayEnd(now) && gateway.idle() && providers.quiet() && listener.quiet()) {
+        boolean answered = lifecycle.mayEnd(now) && gateway.idle() && providers.quiet() && listener.quiet();
+        // Guards the last requests and answers: with the process go what lies unread in its sockets and backlog, and by a
+        // reset what peers have not read yet.
+        if (answered && (listener.emptied() || lifecycle.mustEnd(now))) {
             long millis = lifecycle.stoppingForMicros(now) / MICROS_PER_MILLI;
             Events.info(LOG, "daemon.stopped").addKeyValue("ms", millis)
                     .log("stopped after " + millis + " ms, all answered");
--- a/daemon/src/main/java/postgrade/http/Connection.java
+++ b/daemon/src/main/java/postgrade/http/Connection.java
@@ -11,6 +11,10 @@
 /** One TCP connection on the loop. Its owner hears what comes in and when it ends; writes are kept until sent. */
 public final class Connection implements Reactor.Handler {
 
+    /** So much is read at once out of turn, and so often at most: an end may lie behind all that a peer may send ahead. */
+    private static final int LOOK_BYTES = 8 << 10;
+    private static final int MOST_LOOKS = 32;
+
     /** Who owns the connection. */
     public interface Owner {
         /** A connect of ours has come up. */
@@ -114,7 +118,11 @@
     }
 
     private void read() throws IOException {
-        ByteBuffer in = reactor.readBuffer();
+        read(reactor.readBuffer());
+    }
+
+    /** False if nothing is left to read. */
+    private boolean read(ByteBuffer in) throws IOException {
         in.clear();
         int count = channel.read(in);
         if (count < 0) {
@@ -129,6 +137,25 @@
                 owner.bad(this, e);
             }
         }
+        return count > 0 && !closed;
+    }
+
+    /**
+     * Reads what lies in the socket by now, though the loop has not come to it or the connection is paused: the owner hears
+     * of it, and of the end behind it. Guards what is about to be done on the word of an older look.
+     */
+    public void look() {
+        if (closed || connecting) {
+            return;
+        }
+        ByteBuffer own = ByteBuffer.allocate(LOOK_BYTES); // The loop's buffer may be in use.
+        try {
+            for (int i = 0; i < MOST_LOOKS && read(own); i++) {
+                // What has been read is the owner's.
+            }
+        } catch (IOException | RuntimeException e) {
+            failed(e);
+        }
     }
 
     /** False if the peer has closed an idle connection, though the loop has not come to it yet. */
@@ -236,9 +263,15 @@
         gone();
     }
 
-    /** Closed for want of sockets; the owner is told. */
+    /**
+     * Closed for want of sockets, unless something has come that the loop has not looked at; the owner is told. Guards a
+     * request that was under way, and the last answer: a close over unread bytes resets the connection.
+     */
     void evict() {
-        gone();
+        look();
+        if (reactor.sockets().isIdle(this)) {
+            gone();
+        }
     }
 
     private void gone() {
--- a/daemon/src/main/java/postgrade/http/SocketBudget.java
+++ b/daemon/src/main/java/postgrade/http/SocketBudget.java
@@ -39,12 +39,15 @@
     }
 
     /**
-     * Takes a place for a connection to accept, if need be by closing an idle one. False if none is to be had.
+     * Takes a place for a connection that has been accepted, if need be by closing an idle one; one place more than there are
+     * where the idle ones turn out not to be.
      *
      * @param anyIdle also one that is past its probation may be closed
      */
-    public boolean takeToAccept(boolean anyIdle) {
-        return take((int) (most * MOST_ACCEPTED), anyIdle);
+    public void takeToAccept(boolean anyIdle) {
+        if (!take((int) (most * MOST_ACCEPTED), anyIdle)) {
+            open++;
+        }
     }
 
     /** Whether {@link #takeToAccept} would find a place; nothing is closed for one that may not come. */
@@ -58,12 +61,12 @@
     }
 
     private boolean take(int limit, boolean anyIdle) {
-        if (open >= limit) {
+        while (open >= limit) {
             Iterator<Connection> oldest = (onProbation.isEmpty() && anyIdle ? idle : onProbation).iterator();
             if (!oldest.hasNext()) {
                 return false;
             }
-            oldest.next().evict();
+            oldest.next().evict(); // Or it is idle no longer.
         }
         open++;
         return true;
@@ -73,6 +76,10 @@
         open--;
     }
 
+    boolean isIdle(Connection c) {
+        return idle.contains(c) || onProbation.contains(c);
+    }
+
     void idle(Connection c, boolean isIdle, boolean isOnProbation) {
         // One that is idle already keeps its place.
         if (isIdle && isOnProbation) {
--- a/daemon/src/main/java/postgrade/lifecycle/Lifecycle.java
+++ b/daemon/src/main/java/postgrade/lifecycle/Lifecycle.java
@@ -13,7 +13,9 @@
 
     /** What the dispatcher is about. */
     public enum State {
-        STARTING, ACTIVE, STANDBY, STOPPING, HANDING_OVER;
+        STARTING, ACTIVE, STANDBY, STOPPING, HANDING_OVER,
+        /** All that was taken is answered; what is left are connections that their peers have to end. */
+        CLOSING;
 
         public String word() {
             return name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
@@ -35,17 +37,22 @@
     /** So long before SIGKILL consumers are turned away, and then answered whatever their jobs have come to. */
     private static final long LEAVE_MICROS = 1_400_000;
     private static final long CONCLUDE_MICROS = 300_000;
+    /** New connections come for up to 0.4 s after SIGTERM, however short the deadlines. */
+    private static final long STILL_SENT_MICROS = 500_000;
+    /** Peers that have not ended their connections by then are not waited for. */
+    private static final long END_MICROS = 50_000;
     /** A successor takes the consumers at once; most connections end with their next answer before they would idle. */
     private static final long HAND_OVER_LEAVE_MICROS = 1_000_000;
 
     private boolean started;
     private boolean successor;
+    private boolean closing;
     private long standbyMicros = NEVER;
     private long stopMicros = NEVER;
     private long killMicros = NEVER;
 
     public State state() {
-        return stopMicros != NEVER ? successor ? State.HANDING_OVER : State.STOPPING
+        return closing ? State.CLOSING : stopMicros != NEVER ? successor ? State.HANDING_OVER : State.STOPPING
                 : standbyMicros != NEVER ? State.STANDBY
                 : started ? State.ACTIVE : State.STARTING;
     }
@@ -92,6 +99,11 @@
         successor = isThere;
     }
 
+    /** Nothing more is taken: the last connections end. There is no way back. */
+    public void closing() {
+        closing = true;
+    }
+
     /** The front may send consumers. In an upgrade the pair is one dispatcher, ready as its successor is. */
     public boolean ready() {
         return state() == State.ACTIVE || state() == State.HANDING_OVER && standbyMicros == NEVER;
@@ -109,7 +121,7 @@
 
     /** New connections are accepted: the consumers', and always the providers' call-backs, but for a successor's. */
     public boolean accepts() {
-        return state() != State.HANDING_OVER;
+        return state() != State.HANDING_OVER && state() != State.CLOSING;
     }
 
     /** An answer to a consumer ends its connection. */
@@ -121,7 +133,7 @@
     /** Consumers' connections that await nothing are closed. */
     public boolean leaves(long nowMicros) {
         return past(standbyMicros, STANDBY_LEAVE_MICROS, nowMicros)
-                || past(killMicros, -LEAVE_MICROS, nowMicros)
+                || past(killMicros, -LEAVE_MICROS, nowMicros) && past(stopMicros, STILL_SENT_MICROS, nowMicros)
                 || state() == State.HANDING_OVER && past(stopMicros, HAND_OVER_LEAVE_MICROS, nowMicros);
     }
 
@@ -142,6 +154,11 @@
         return stopMicros != NEVER && leaves(nowMicros);
     }
 
+    /** SIGKILL is so near that who has not ended its connection is waited for no longer. */
+    public boolean mustEnd(long nowMicros) {
+        return past(killMicros, -END_MICROS, nowMicros);
+    }
+
     public long stoppingForMicros(long nowMicros) {
         return stopMicros == NEVER ? 0 : nowMicros - stopMicros;
     }
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -181,7 +181,7 @@
 
         @Override
         boolean isLate(long nowMicros) {
-            return nowMicros > call.writtenByMicros();
+            return nowMicros > call.writtenByMicros() || call.unwanted();
         }
 
         private void end(Outcome outcome) {
--- a/daemon/src/test/java/postgrade/daemon/HandOverTest.java
+++ b/daemon/src/test/java/postgrade/daemon/HandOverTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
@@ -83,9 +84,13 @@
         assertTrue(status, status.contains("\"out\":[\"w1\"]"));
         ended(stopping(daemon));
         Files.write(left, said);
-        Process plain = program(environment); // Finds its address in use by the others here, which does no harm.
-        try {
-            assertTrue(plain.waitFor(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        Process plain = program(environment); // Its address is free: the others here have ended in order.
+        try (BufferedReader log = plain.errorReader()) {
+            String line = log.readLine();
+            while (line != null && !line.contains(" listens on ")) {
+                line = log.readLine();
+            }
+            assertTrue("it serves", line != null);
         } finally {
             plain.destroyForcibly();
         }
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/LeavingTest.java
@@ -0,0 +1,190 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import postgrade.Dispatcher.Outcome;
+
+/** A client that has left gets no attempt, in whatever moment and manner it goes. */
+public class LeavingTest extends Stage {
+
+    private static final String ATTEMPT = "POST";
+    /** Longer than two sweeps. */
+    private static final long SWEEPS_MILLIS = 120;
+
+    private interface Way {
+        void leave(Socket s) throws IOException;
+    }
+
+    private static final List<Way> WAYS = List.of(Socket::close, Socket::shutdownOutput, s -> {
+        s.setSoLinger(true, 0); // With a reset.
+        s.close();
+    });
+
+    private Turns turns;
+
+    @Before
+    public void turn() throws Exception {
+        turns = new Turns(Config.read(configuration()), 512);
+        turns.provider("w1", one);
+        turns.provider("w2", two);
+    }
+
+    @After
+    public void close() throws IOException {
+        turns.close();
+    }
+
+    private static void leave(Way way, Socket s) {
+        try {
+            way.leave(s);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** All that was written has arrived when a later attempt has. */
+    private void nothingWasSent() throws Exception {
+        turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+        turns.post("last");
+        assertEquals("last", one.next(ATTEMPT).header("X-Request-Id"));
+        assertTrue(two.nothingArrived());
+    }
+
+    @Test
+    public void whoLeavesInTheTurnOfTheDispatchGetsNoFirstAttempt() throws Exception {
+        for (Way way : WAYS) {
+            Socket[] client = new Socket[1];
+            client[0] = turns.connect();
+            turns.script.onJob = job -> {
+                leave(way, client[0]);
+                turns.script.out.send(job.id(), "w1", 0);
+            };
+            Turns.post(client[0], "a1");
+            turns.script.hears("job a1");
+            turns.script.hears("abandoned a1");
+            turns.script.hears("finished a1 0 NOT_SENT true");
+        }
+        nothingWasSent();
+    }
+
+    @Test
+    public void whoLeavesInTheTurnOfARepeatGetsNoFurtherAttempt() throws Exception {
+        for (Way way : WAYS) {
+            Socket client = turns.connect();
+            turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+            turns.script.onFinished = (id, outcome) -> {
+                if (outcome == Outcome.FULL) {
+                    leave(way, client);
+                    turns.script.out.send(id, "w2", 0);
+                }
+            };
+            Turns.post(client, "r1");
+            one.next(ATTEMPT).reply("503 Full\r\nX-Not-Run: 1", "");
+            turns.script.hears("job r1");
+            turns.script.hears("finished r1 0 FULL false");
+            turns.script.hears("abandoned r1");
+            turns.script.hears("finished r1 1 NOT_SENT true");
+        }
+        nothingWasSent();
+    }
+
+    @Test
+    public void anEndBehindMoreThanOneReadIsSeenBeforeTheAttempt() throws Exception {
+        turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; many.length() < 100_000; i++) { // A turn reads 64 KiB of it.
+            many.append("POST /api HTTP/1.1\r\nX-Request-Id: m").append(i)
+                    .append("\r\nX-Class: price\r\nContent-Length: 1000\r\n\r\n").append("x".repeat(1000));
+        }
+        turns.crossing(0, () -> {
+            Socket client = turns.connect();
+            Peer.write(client, many.toString());
+            client.close();
+        }, () -> { });
+        turns.script.hears("job m0");
+        turns.script.hears("abandoned m0");
+        turns.script.hears("finished m0 0 NOT_SENT true");
+        nothingWasSent();
+    }
+
+    /** What was turned away is read from again at the next sweep only, but a job that waits behind it is another matter. */
+    @Test
+    public void theEndOfOneThatWasTurnedAwayBeforeIsSeenInTheSameTurn() throws Exception {
+        Socket client = turns.connect();
+        turns.script.onJob = job -> {
+            leave(Socket::close, client);
+            turns.script.out.timer("next turn", 0);
+        };
+        turns.crossing(SWEEPS_MILLIS, () -> { }, // The next sweep is far.
+                () -> Peer.write(client, "GET /nowhere HTTP/1.1\r\n\r\nPOST /api HTTP/1.1\r\nX-Request-Id: p1\r\n"
+                        + "X-Class: price\r\nContent-Length: 0\r\n\r\n"));
+        turns.script.hears("job p1");
+        turns.script.hears("abandoned p1");
+        turns.script.hears("timer next turn");
+    }
+
+    @Test
+    public void whoHasLeftWhenAConnectionComesUpLateGetsNoAttemptOnIt() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            deaf.setSoTimeout(Peer.PATIENCE_S * 1000);
+            for (int i = 0; i < 2; i++) {
+                sockets.add(new Socket(deaf.getInetAddress(), deaf.getLocalPort()));
+            }
+            turns.provider("w3", deaf.getInetAddress().getHostAddress(), deaf.getLocalPort());
+            turns.script.onJob = job -> turns.script.out.send(job.id(), "w3", 0);
+            Socket client = turns.post("d1");
+            turns.script.hears("job d1");
+            turns.turn();
+            Socket[] up = new Socket[1];
+            turns.crossing(0, () -> {
+                for (int i = 0; i < 3; i++) {
+                    up[0] = deaf.accept(); // The third is ours: it comes up with the system's next try.
+                    sockets.add(up[0]);
+                }
+            }, client::close);
+            turns.script.hears("abandoned d1");
+            turns.script.hears("finished d1 0 NOT_SENT true");
+            assertEquals("nothing was written", 0, up[0].getInputStream().available());
+        }
+    }
+
+    @Test
+    public void aBurstThatLeavesInOneTurnGetsNoAttempt() throws Exception {
+        turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+        turns.post("warm");
+        turns.script.hears("job warm");
+        one.next(ATTEMPT).accept();
+        turns.turn(); // The first attempt of all has a connection at once.
+        turns.script.onJob = job -> { };
+        int many = 100;
+        Socket[] clients = new Socket[many];
+        for (int i = 0; i < many; i++) {
+            clients[i] = turns.post("b" + i);
+            turns.script.hears("job b" + i);
+        }
+        Socket go = turns.connect();
+        turns.turn();
+        turns.script.onJob = job -> {
+            for (int i = 0; i < many; i++) {
+                turns.script.out.send("b" + i, "w1", 0);
+            }
+        };
+        turns.crossing(0, () -> {
+            for (Socket c : clients) {
+                c.close();
+            }
+            Turns.post(go, "go");
+        }, () -> { });
+        nothingWasSent();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/ShutdownCrossingTest.java
@@ -0,0 +1,173 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** What comes in the very moment in which connections are closed or the process ends. */
+public class ShutdownCrossingTest extends Stage {
+
+    /** SIGKILL comes 1.5 s after SIGTERM at the earliest, resting connections are closed from 0.5 s on. */
+    private static final long DEADLINE_NS = 800_000_000L;
+    private static final long UNTIL_LEAVING_MILLIS = 600;
+    private static final long KILL_MILLIS = 1_500;
+    /** Longer than two sweeps and checks. */
+    private static final long SWEEPS_MILLIS = 120;
+
+    private Turns turns;
+
+    @Before
+    public void turn() throws Exception {
+        Path file = Path.of(configuration().get("ROUTER_CONFIG"));
+        Files.writeString(file, Files.readString(file).replace("20000000000", "" + DEADLINE_NS));
+        turns = new Turns(Config.read(Map.of("ROUTER_CONFIG", file.toString())), 64);
+        turns.script.onJob = job -> turns.script.out.refuse(job.id(), 0);
+    }
+
+    @After
+    public void close() throws IOException {
+        turns.close();
+    }
+
+    private Socket resting(String id) throws Exception {
+        Socket s = turns.post(id);
+        turns.script.hears("job " + id);
+        assertEquals(429, Peer.read(s).status());
+        return s;
+    }
+
+    /** SIGTERM, with the loop held until connections are to be closed. */
+    private void stop(Turns.Io whileHeld, Turns.Io afterSelect) throws Exception {
+        turns.on(turns.ending::begin);
+        turns.crossing(UNTIL_LEAVING_MILLIS, whileHeld, afterSelect);
+    }
+
+    private static void rejectedAndEnded(Socket s) throws IOException {
+        Arrived answer = Peer.read(s);
+        assertEquals(429, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        assertEquals(-1, s.getInputStream().read());
+    }
+
+    @Test
+    public void aRequestOnARestingConnectionInTheMomentItIsClosedIsServed() throws Exception {
+        Socket kept = resting("k1");
+        Socket other = resting("k2");
+        stop(() -> { }, () -> Turns.post(kept, "k3"));
+        turns.script.hears("job k3");
+        rejectedAndEnded(kept);
+        assertEquals("ended, not reset", -1, other.getInputStream().read());
+    }
+
+    @Test
+    public void whatIsAcceptedUnreadOrInTheBacklogWhenTheProcessWouldEndIsServed() throws Exception {
+        Socket[] late = new Socket[2];
+        stop(() -> late[0] = turns.post("b1"), () -> late[1] = turns.post("b2"));
+        rejectedAndEnded(late[0]);
+        rejectedAndEnded(late[1]);
+    }
+
+    @Test
+    public void aConnectionThatHasJustComeIsGivenAMomentForItsRequest() throws Exception {
+        Socket[] late = new Socket[1];
+        stop(() -> late[0] = turns.connect(),
+                () -> turns.loop.at(turns.loop.nowMicros(), () -> Turns.post(late[0], "m1"))); // Behind all that is due.
+        rejectedAndEnded(late[0]);
+    }
+
+    @Test
+    public void theProcessEndsOnceItsPeersHaveEndedTheirConnections() throws Exception {
+        Socket kept = resting("e1");
+        CountDownLatch later = new CountDownLatch(1);
+        stop(() -> { }, () -> turns.loop.at(turns.loop.nowMicros() + 25_000, later::countDown)); // Behind the next check.
+        assertEquals("told to leave", -1, kept.getInputStream().read());
+        assertTrue("it may not have read all", later.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        kept.close();
+        turns.ends();
+    }
+
+    @Test
+    public void aPeerThatNeverEndsItsConnectionIsNotWaitedForBeyondSigkill() throws Exception {
+        Socket kept = resting("n1");
+        stop(() -> { }, () -> { });
+        CountDownLatch later = new CountDownLatch(1);
+        // It is waited for until 0.6 s and one more have passed; SIGKILL may come at 1.5 s.
+        turns.crossing(KILL_MILLIS - UNTIL_LEAVING_MILLIS, () -> { },
+                () -> turns.loop.at(turns.loop.nowMicros() + 1, later::countDown));
+        turns.ends();
+        assertEquals("ended in that turn", 1, later.getCount());
+        assertEquals(-1, kept.getInputStream().read());
+    }
+
+    @Test
+    public void aRequestThatComesBehindOurEndIsNeverSentOn() throws Exception {
+        Socket kept = resting("s1");
+        stop(() -> { }, () -> { });
+        assertEquals(-1, kept.getInputStream().read());
+        Turns.post(kept, "s2");
+        kept.close();
+        turns.ends();
+        assertTrue("read and dropped", turns.script.heard.isEmpty());
+    }
+
+    @Test
+    public void aRequestBehindTheOneThatEndsItsConnectionIsNeverSentOn() throws Exception {
+        Socket kept = resting("p1");
+        String job = "POST /api HTTP/1.1\r\nX-Class: price\r\nContent-Length: 0\r\nX-Request-Id: ";
+        stop(() -> { }, () -> Peer.write(kept, job + "p2\r\n\r\n" + job + "p3\r\n\r\n")); // In one packet.
+        turns.script.hears("job p2");
+        rejectedAndEnded(kept);
+        kept.close();
+        turns.ends();
+        assertTrue("dropped", turns.script.heard.isEmpty());
+    }
+
+    @Test
+    public void aRequestThatWouldBeWholeTooLateIsRejectedAndItsRestIsPassedOver() throws Exception {
+        Socket half = turns.connect();
+        stop(() -> Peer.write(half, "POST /api HTTP/1.1\r\nX-Request-Id: h1\r\nX-Class: price\r\nContent-Length: 3\r\n\r\n"),
+                () -> { });
+        rejectedAndEnded(half);
+        Peer.write(half, "job");
+        half.close();
+        turns.ends();
+        assertTrue("passed over", turns.script.heard.isEmpty());
+    }
+
+    @Test
+    public void whoSaysNothingIsEndedWithoutLosingWhatComesInThatMoment() throws Exception {
+        Socket silent = turns.connect();
+        turns.turn();
+        turns.crossing(2_100, () -> { }, () -> Turns.post(silent, "w1")); // It is given 2 s.
+        turns.script.hears("job w1");
+        assertEquals(429, Peer.read(silent).status());
+    }
+
+    @Test
+    public void anIdleConnectionIsNotClosedForANewOneOverARequestThatHasCome() throws Exception {
+        Socket[] idle = new Socket[48]; // All that may be accepted of 64.
+        for (int i = 0; i < idle.length; i++) {
+            idle[i] = resting("i" + i);
+            Turns.post(idle[i], "j" + i); // Past its probation.
+            turns.script.hears("job j" + i);
+            assertEquals(429, Peer.read(idle[i]).status());
+        }
+        turns.crossing(SWEEPS_MILLIS, () -> { }, () -> { });
+        Socket[] fresh = new Socket[1];
+        turns.crossing(SWEEPS_MILLIS, () -> fresh[0] = turns.post("f1"), () -> Turns.post(idle[0], "f2"));
+        assertEquals("the one that was idle longest", 429, Peer.read(idle[0]).status());
+        assertEquals(429, Peer.read(fresh[0]).status());
+        assertEquals("another has gone", -1, idle[1].getInputStream().read());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/Turns.java
@@ -0,0 +1,188 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import postgrade.consumer.Listener;
+import postgrade.consumer.Relay;
+import postgrade.gateway.Gateway;
+import postgrade.http.SocketBudget;
+import postgrade.lifecycle.Lifecycle;
+import postgrade.provider.ProviderPools;
+import postgrade.provider.Target;
+import postgrade.upgrade.Upgrade;
+
+/**
+ * The loop with all that serves clients, and a hook into one of its turns: while the loop is held, and after the turn's
+ * select, peers may do what the loop has not seen when it comes to what is due.
+ */
+final class Turns implements AutoCloseable {
+
+    /** What a peer does. */
+    interface Io {
+        void run() throws IOException;
+    }
+
+    final Lifecycle lifecycle = new Lifecycle();
+    final Loop loop;
+    final Script script;
+    final Gateway gateway;
+    final ProviderPools providers;
+    final Listener listener;
+    final Ending ending;
+    private final List<Socket> sockets = new ArrayList<>();
+    private final Thread thread;
+    /** Told at the end of this turn. */
+    private CountDownLatch noted;
+
+    /** @param places for sockets */
+    Turns(Config config, int places) throws IOException {
+        loop = new Loop(new SocketBudget(places), config.clock);
+        Script[] made = new Script[1];
+        gateway = new Gateway(out -> made[0] = new Script(out), false, 1000, loop, (event, message, thrown) -> { });
+        script = made[0];
+        providers = new ProviderPools(gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
+        gateway.connect(providers);
+        Upgrade alone = new Upgrade(null, config.name, loop, loop, null);
+        listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false, config.deadlineMicros,
+                Set.of(), () -> true, lifecycle, new Alone(), gateway, loop, loop);
+        ending = new Ending(loop, lifecycle, gateway, providers, listener, alone, null, () -> config);
+        lifecycle.started();
+        thread = new Thread(this::run, "loop");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static final class Alone implements Relay {
+        @Override
+        public boolean any() {
+            return false;
+        }
+
+        @Override
+        public void callBack(byte[] body, Consumer<Boolean> done) {
+            throw new AssertionError("nobody is there");
+        }
+    }
+
+    private void run() {
+        try {
+            loop.run(new Loop.Turn() {
+                @Override
+                public void take() {
+                    gateway.turn();
+                    if (noted != null) {
+                        noted.countDown();
+                        noted = null;
+                    }
+                }
+
+                @Override
+                public boolean pending() {
+                    return gateway.pending();
+                }
+            });
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** A provider, ready from the start. */
+    void provider(String id, String host, int port) throws InterruptedException {
+        on(() -> providers.list(false, List.of(new Target(id, new InetSocketAddress(host, port), true))));
+    }
+
+    void provider(String id, Peer peer) throws InterruptedException {
+        String[] address = peer.address().split(":");
+        provider(id, address[0], Integer.parseInt(address[1]));
+    }
+
+    /** Runs something on the loop and waits for it. */
+    void on(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.ask(() -> {
+            task.run();
+            done.countDown();
+        });
+        assertTrue(done.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    /**
+     * Holds the loop for so long at least that what is due by then is due in its next turn; what peers do meanwhile is ready
+     * in that turn. What they do after its select is not. Returns when that turn is over.
+     */
+    void crossing(long holdMillis, Io whileHeld, Io afterSelect) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        Throwable[] failed = new Throwable[1];
+        loop.ask(() -> loop.at(loop.nowMicros(), () -> {
+            held(holdMillis, whileHeld, failed);
+            loop.ask(() -> {
+                held(0, afterSelect, failed);
+                noted = done;
+            });
+        }));
+        assertTrue(done.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        if (failed[0] != null) {
+            throw new AssertionError(failed[0]);
+        }
+    }
+
+    private static void held(long millis, Io what, Throwable[] failed) {
+        try {
+            what.run();
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            failed[0] = e;
+        }
+    }
+
+    /** Waits for the end of a turn that has begun since this call. */
+    void turn() throws InterruptedException {
+        for (int i = 0; i < 2; i++) { // The first may be under way.
+            CountDownLatch done = new CountDownLatch(1);
+            loop.ask(() -> noted = done);
+            assertTrue(done.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
+    void ends() throws InterruptedException {
+        thread.join(TimeUnit.SECONDS.toMillis(Peer.PATIENCE_S));
+        assertFalse("ended", thread.isAlive());
+    }
+
+    Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), listener.port());
+        s.setSoTimeout(Peer.PATIENCE_S * 1000);
+        sockets.add(s);
+        return s;
+    }
+
+    Socket post(String id) throws IOException {
+        Socket s = connect();
+        post(s, id);
+        return s;
+    }
+
+    static void post(Socket s, String id) {
+        Stage.post(s, id, "price", "15000m");
+    }
+
+    @Override
+    public void close() throws IOException {
+        loop.ask(loop::stop);
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/postgrade/http/ConnectionTest.java
@@ -0,0 +1,144 @@
+package postgrade.http;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** One accepted connection over loopback, looked at and ended in moments of the test's choice. No loop runs. */
+public class ConnectionTest implements Reactor, Connection.Owner {
+
+    private final SocketBudget sockets = new SocketBudget(10);
+    private final ByteBuffer inUse = ByteBuffer.allocate(16);
+    private final StringBuilder heard = new StringBuilder();
+    private Selector selector;
+    private ServerSocketChannel server;
+    private SocketChannel peer;
+    private SocketChannel ours;
+    private Connection connection;
+
+    @Before
+    public void connect() throws IOException {
+        selector = Selector.open();
+        server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        peer = SocketChannel.open(server.getLocalAddress());
+        ours = server.accept();
+        sockets.takeToAccept(true);
+        connection = Connection.accepted(this, ours, this);
+    }
+
+    @After
+    public void close() throws IOException {
+        peer.close();
+        ours.close();
+        server.close();
+        selector.close();
+    }
+
+    private void send(String text) throws IOException {
+        peer.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    /** Small writes that the system holds back would go with a reset. */
+    @Test
+    public void whatIsWrittenIsNotHeldBack() throws IOException {
+        assertTrue(ours.getOption(StandardSocketOptions.TCP_NODELAY));
+    }
+
+    @Test
+    public void aLookTakesAllThatHasComeAndTheEndBehindItThoughNothingIsReadOtherwise() throws IOException {
+        connection.pause(true);
+        inUse.put((byte) 7);
+        send("x".repeat(20_000));
+        peer.close();
+        connection.look();
+        assertEquals("x".repeat(20_000) + " ended closed", heard.toString());
+        assertFalse(connection.isOpen());
+        assertEquals("the loop's buffer is as it was", 1, inUse.position());
+    }
+
+    @Test
+    public void aLookAtAConnectionThatHasBeenResetTellsOfItsEnd() throws IOException {
+        peer.setOption(StandardSocketOptions.SO_LINGER, 0);
+        peer.close();
+        connection.look();
+        assertEquals(" closed", heard.toString());
+    }
+
+    @Test
+    public void whatComesBehindOurEndIsPassedOverAndThePeersEndIsSeen() throws IOException {
+        connection.closeWhenSent();
+        send("late");
+        connection.look();
+        assertEquals("", heard.toString());
+        assertTrue(connection.isOpen());
+        peer.close();
+        connection.look();
+        assertEquals(" ended closed", heard.toString());
+    }
+
+    @Test
+    public void oneThatIsNoLongerIdleOnALookIsNotEvicted() throws IOException {
+        connection.idle(true, false);
+        send("x");
+        connection.evict();
+        assertTrue(connection.isOpen());
+        connection.idle(true, false);
+        connection.evict();
+        assertFalse(connection.isOpen());
+    }
+
+    // ---- The connection's owner.
+
+    @Override
+    public void received(Connection c, ByteBuffer bytes) {
+        c.idle(false, false);
+        heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
+    }
+
+    @Override
+    public void ended(Connection c) {
+        heard.append(" ended");
+    }
+
+    @Override
+    public void bad(Connection c, BadMessage e) {
+        throw new AssertionError(e);
+    }
+
+    @Override
+    public void closed(Connection c) {
+        heard.append(" closed");
+    }
+
+    // ---- The loop.
+
+    @Override
+    public SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
+        return channel.register(selector, interest, handler);
+    }
+
+    @Override
+    public ByteBuffer readBuffer() {
+        return inUse;
+    }
+
+    @Override
+    public SocketBudget sockets() {
+        return sockets;
+    }
+}
--- a/daemon/src/test/java/postgrade/lifecycle/LifecycleTest.java
+++ b/daemon/src/test/java/postgrade/lifecycle/LifecycleTest.java
@@ -54,6 +54,22 @@
         Lifecycle brief = new Lifecycle();
         brief.stop(T, 2 * S, false);
         assertTrue("SIGKILL follows a shorter deadline sooner", brief.leaves(T + 14 * S / 10));
+        Lifecycle briefest = new Lifecycle();
+        briefest.stop(T, 3 * S / 10, false);
+        assertFalse("new connections still come", briefest.leaves(T + 4 * S / 10) || briefest.mayEnd(T + 4 * S / 10));
+        assertTrue(briefest.mayEnd(T + 5 * S / 10));
+        assertEquals("in time before SIGKILL", T + 7 * S / 10, briefest.concludesSince(T + 7 * S / 10).getAsLong());
+    }
+
+    @Test
+    public void onceItClosesNothingBringsItBackAndSigkillIsNotWaitedFor() {
+        life.stop(T, 10 * S, true);
+        life.closing();
+        life.successor(false);
+        assertEquals(State.CLOSING, life.state());
+        assertFalse(life.accepts() || life.ready() || life.active());
+        assertFalse(life.mustEnd(T + 36 * S / 10));
+        assertTrue(life.mustEnd(T + 37 * S / 10));
     }
 
     @Test
