Let signals that come before there is a dispatcher wait for it

Main.serve heeded SIGHUP and SIGTERM only once the configuration was read and the dispatcher made. A SIGHUP before that ended the process, a crash to whoever sent it; a SIGTERM in the moments after the listening socket was bound reset its backlog.

Both are heeded first; what comes early is carried out when the dispatcher has begun, or dropped where there is to be none.

--- a/daemon/src/main/java/postgrade/daemon/Main.java
+++ b/daemon/src/main/java/postgrade/daemon/Main.java
@@ -1,6 +1,7 @@
 package postgrade.daemon;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.LoggerFactory;
 import postgrade.log.EventLogs;
 import postgrade.log.Events;
@@ -55,22 +56,34 @@
 
     /** Starts one dispatcher and returns while it serves; ends the process if it cannot start. */
     public static void serve() {
-        Daemon daemon;
+        // Guards the start: a signal that comes before there is a dispatcher waits for it. SIGHUP would end the process, and
+        // SIGTERM reset what waits in the backlog.
+        CompletableFuture<Daemon> made = new CompletableFuture<>();
+        heedSignals(made);
+        int fault = 0;
         try {
             Config config = Config.read(System.getenv());
-            daemon = new Daemon(config, Companions.of(config));
+            Daemon daemon = new Daemon(config, Companions.of(config));
+            daemon.start();
+            made.complete(daemon);
         } catch (Config.Faulty e) {
             System.err.println("postgrade: " + e.getMessage());
-            System.exit(USAGE);
-            return;
+            fault = USAGE;
         } catch (IOException e) {
             System.err.println("postgrade: listen: " + e.getMessage());
-            System.exit(1);
-            return;
+            fault = 1;
+        } finally {
+            made.cancel(false); // There is none, and nobody waits for it; without effect where there is.
+        }
+        if (fault != 0) {
+            System.exit(fault);
         }
+    }
+
+    private static void heedSignals(CompletableFuture<Daemon> made) {
         // Guards against the virtual machine's own way with SIGHUP, which is to end. No library of the JDK's own names
         // signals but this one; it is part of the exported module jdk.unsupported.
-        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> daemon.reload());
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> made.thenAccept(Daemon::reload));
         if (before == SignalHandler.SIG_IGN) {
             // Guards the operators: the virtual machine leaves a signal ignored that was so when it started, and says
             // nothing. A new configuration, discovery's new address with it, would never be heard of.
@@ -78,7 +91,11 @@
                     .log("SIGHUP is ignored, as whoever started this process wanted it (nohup does); "
                             + "the configuration cannot be read again until a start without that");
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
-        daemon.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> made.handle((daemon, none) -> {
+            if (daemon != null) {
+                daemon.stop();
+            }
+            return null;
+        }).join(), "stop"));
     }
 }
