Pass the consumer's Idempotency-Key on with each attempt

Cause: Payload kept method, target, Content-Type and body alone, so ProviderPools could write no other header. Without the key a provider cannot know a repeat, ours or one that the client makes elsewhere.

Change: the header goes with each attempt as it came; two of them are two readings and answered 400.

Test: StoriesTest.theConsumersIdempotencyKeyGoesWithEachAttempt, seen to fail without the header.

--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -195,7 +195,8 @@
         opened.size = request.body().length;
         opened.invocation = new Invocation(job.id(), job.jobClass(), job.tenant(), job.key(), job.slots(), job.memory(),
                 listener.timers.nowMicros() + job.deadlineMicros(),
-                new Payload(request.method(), request.target(), request.header("content-type"), request.body()),
+                new Payload(request.method(), request.target(), request.header("content-type"),
+                        request.header("idempotency-key"), request.body()),
                 opened);
         if (listener.gateway.open(opened.invocation)) {
             useful++;
--- a/daemon/src/main/java/postgrade/consumer/Fields.java
+++ b/daemon/src/main/java/postgrade/consumer/Fields.java
@@ -16,7 +16,7 @@
 
     /** Headers that describe the job. Guards against two readings of it, ours and a provider's. */
     static final List<String> ONCE = List.of("x-request-id", "x-class", "x-tenant", "x-key", "x-deadline", "x-extras",
-            "content-type");
+            "content-type", "idempotency-key");
 
     private Fields() { }
 
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -171,6 +171,7 @@
             return MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
                     .header("X-Request-Id", call.id()).header("X-Fence", fence)
                     .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
+                    .header("Idempotency-Key", p.idempotencyKey())
                     .header("Content-Type", p.contentType()).headFor(p.body());
         }
 
--- a/daemon/src/test/java/postgrade/daemon/AttemptStage.java
+++ b/daemon/src/test/java/postgrade/daemon/AttemptStage.java
@@ -87,7 +87,7 @@
     /** A consumer's job, taken over but not yet decided on. */
     Invocation open(String id, String jobClass) {
         Invocation in = new Invocation(id, jobClass, null, null, 1, 0, hand.nowMicros() + DEADLINE,
-                new Payload("POST", "/api", null, "job".getBytes(StandardCharsets.US_ASCII)), new Consumer() {
+                new Payload("POST", "/api", null, null, "job".getBytes(StandardCharsets.US_ASCII)), new Consumer() {
                     @Override
                     public void serve(byte[] result) {
                         answers.add(id + " served");
--- a/daemon/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/daemon/src/test/java/postgrade/daemon/StoriesTest.java
@@ -53,6 +53,23 @@
         assertEquals(200, Peer.read(consumer).status());
     }
 
+    /** Without the consumer's key a provider cannot know a repeat, ours or the consumer's own by another way. */
+    @Test
+    public void theConsumersIdempotencyKeyGoesWithEachAttempt() throws Exception {
+        serve(server("w1", one.address(), "ready"), server("w2", one.address(), "ready"));
+        String head = "POST /api HTTP/1.1\r\nX-Request-Id: i1\r\nX-Class: price\r\nContent-Length: 0\r\n";
+        Socket consumer = connect();
+        Peer.write(consumer, head + "Idempotency-Key: \"8e03 978e\"\r\n\r\n");
+        Arrived first = one.next("POST");
+        assertEquals("\"8e03 978e\"", first.header("Idempotency-Key"));
+        first.reply("503 Full\r\nX-Not-Run: 1", "");
+        assertEquals("\"8e03 978e\"", one.next("POST").header("Idempotency-Key"));
+        assertEquals("two readings", 400, exchange(head.replace("i1", "i2")
+                + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n").status());
+        post("i3", "price", "15000m");
+        assertNull("where there is none", one.next("POST").header("Idempotency-Key"));
+    }
+
     @Test
     public void whatIsNotAJobEventIsToldSoAndNothingElseHappens() throws Exception {
         serve(server("w1", one.address(), "ready"));
