Make an upgrade's link again where it breaks before the peer has told

Cause: a process let go whoever did not say who it is within 0.4 s of connecting; a new one held up there lost its link, counted none and found the address in use. It is given 2.5 s now, as long as it waits itself, and a link that breaks before the state has come is made again. One that is silent for 2.5 s was counted before too.

--- a/daemon/src/main/java/postgrade/upgrade/Peer.java
+++ b/daemon/src/main/java/postgrade/upgrade/Peer.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
@@ -21,7 +22,8 @@
 
     private final Upgrade up;
     final SocketChannel channel;
-    private final boolean ours;
+    /** Where it listens, if it was this process that made the link; else null. */
+    final Path file;
     private final Lines lines = new Lines();
     final List<Long> outstanding = new ArrayList<>();
     private SelectionKey key;
@@ -31,11 +33,10 @@
     boolean stopping;
     boolean open = true;
 
-    /** @param ours it was this process that made the link */
-    Peer(Upgrade up, SocketChannel channel, boolean ours) {
+    Peer(Upgrade up, SocketChannel channel, Path file) {
         this.up = up;
         this.channel = channel;
-        this.ours = ours;
+        this.file = file;
     }
 
     void begin() {
@@ -148,7 +149,7 @@
         for (Peer other : new ArrayList<>(up.peers)) {
             if (other != this && name.equals(other.id)) {
                 boolean laterIsUs = up.id.compareTo(name) > 0;
-                (ours == laterIsUs ? other : this).drop();
+                (file != null == laterIsUs ? other : this).drop();
             }
             known |= other == this;
         }
--- a/daemon/src/main/java/postgrade/upgrade/Upgrade.java
+++ b/daemon/src/main/java/postgrade/upgrade/Upgrade.java
@@ -6,7 +6,6 @@
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -15,7 +14,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,8 +33,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Upgrade.class);
     static final int FORM = 1;
     private static final String SUFFIX = ".link";
-    /** A peer under load on a small part of a core may need as long; the new process is due within 6 s. */
-    private static final long STATE_MILLIS = 2_500;
     /** Guards the descriptors: an upgrade has one peer, one that follows at once two. */
     private static final int MOST_PEERS = 4;
 
@@ -63,6 +59,7 @@
     final Owner owner;
     final List<Peer> peers = new ArrayList<>();
     final Asks asks = new Asks(this);
+    private final Meeting meeting = new Meeting(this);
     private final Left left;
     private boolean met;
     private ServerSocketChannel server;
@@ -121,7 +118,7 @@
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, prefix() + "*" + SUFFIX)) {
             for (Path file : files) {
                 if (!file.equals(path) && peers.size() < MOST_PEERS) {
-                    connect(file);
+                    meeting.connect(file);
                 }
             }
         } catch (IOException | RuntimeException e) {
@@ -132,7 +129,7 @@
             left.forget(); // A plain start: what operators said goes with the process that they said it to.
         } else {
             met = true;
-            await();
+            meeting.await();
         }
         for (Peer p : new ArrayList<>(peers)) {
             p.begin();
@@ -151,58 +148,6 @@
         left.write(what);
     }
 
-    private void connect(Path file) {
-        SocketChannel channel = null;
-        try {
-            channel = SocketChannel.open(UnixDomainSocketAddress.of(file));
-            channel.configureBlocking(false);
-            Peer p = new Peer(this, channel, true);
-            peers.add(p);
-            p.send(hello());
-        } catch (IOException | RuntimeException e) {
-            try {
-                // Guards against what a killed process leaves: nobody listens there, and nobody will under this name.
-                Files.deleteIfExists(file);
-                if (channel != null) {
-                    channel.close();
-                }
-            } catch (IOException left) {
-                LOG.debug("could not remove a link that is not in use", left);
-            }
-        }
-    }
-
-    private JsonObject hello() {
-        return Json.object().add("hello", FORM).add("id", id).add("dispatcher", dispatcher);
-    }
-
-    private void await() {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STATE_MILLIS);
-        try (Selector selector = Selector.open()) {
-            for (Peer p : peers) {
-                p.channel.register(selector, SelectionKey.OP_READ, p);
-            }
-            while (peers.stream().anyMatch(p -> p.open && p.state == null)) {
-                long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
-                if (left <= 0) {
-                    break;
-                }
-                selector.select(left);
-                for (SelectionKey key : selector.selectedKeys()) {
-                    Peer p = (Peer) key.attachment();
-                    try {
-                        p.read();
-                    } catch (IOException | RuntimeException e) {
-                        p.lost(e);
-                    }
-                }
-                selector.selectedKeys().clear();
-            }
-        } catch (IOException e) {
-            LOG.debug("waiting for a peer's state was cut short", e);
-        }
-    }
-
     // ---- Who is there.
 
     /** This process listens for consumers. */
@@ -264,9 +209,10 @@
             return;
         }
         channel.configureBlocking(false);
-        Peer p = new Peer(this, channel, false);
+        Peer p = new Peer(this, channel, null);
         p.begin();
-        timers.at(timers.nowMicros() + Asks.ASK_MICROS, () -> {
+        // As long as it waits for what we know: a process that starts on a full machine may be held up in between.
+        timers.at(timers.nowMicros() + Meeting.STATE_MILLIS * 1000, () -> {
             if (p.id == null) {
                 p.lost(new IOException("said nothing"));
             }
--- /dev/null
+++ b/daemon/src/test/java/postgrade/upgrade/HelloTest.java
@@ -0,0 +1,149 @@
+package postgrade.upgrade;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import postgrade.gateway.Timers;
+import postgrade.http.Reactor;
+import postgrade.http.SocketBudget;
+
+/** Who connects to a process and is held up before it says who it is, on time that the test turns. */
+public class HelloTest implements Reactor, Timers, Upgrade.Owner {
+
+    private record Task(long atMicros, Runnable does) { }
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final ByteBuffer buffer = ByteBuffer.allocate(64 << 10);
+    private final List<Task> tasks = new ArrayList<>();
+    private Selector selector;
+    private long nowMicros;
+    private Upgrade old;
+    private SocketChannel held;
+
+    @Before
+    public void anOldProcessListensAndANewOneConnects() throws IOException {
+        selector = Selector.open();
+        old = new Upgrade(folder.getRoot().toPath(), "n1 here", this, this, this);
+        old.serving();
+        try (var files = Files.list(folder.getRoot().toPath())) {
+            Path link = files.filter(f -> f.toString().endsWith(".link")).findFirst().orElseThrow();
+            held = SocketChannel.open(UnixDomainSocketAddress.of(link));
+        }
+        until(() -> !tasks.isEmpty());
+    }
+
+    @After
+    public void close() throws IOException {
+        held.close();
+        old.close();
+        selector.close();
+    }
+
+    private void until(BooleanSupplier isSo) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!isSo.getAsBoolean()) {
+            assertTrue("in time", System.nanoTime() < end);
+            selector.select(20);
+            for (SelectionKey key : selector.selectedKeys()) {
+                ((Handler) key.attachment()).ready(key);
+            }
+            selector.selectedKeys().clear();
+        }
+    }
+
+    private void passes(long micros) {
+        nowMicros += micros;
+        for (Task t : new ArrayList<>(tasks)) {
+            if (t.atMicros <= nowMicros) {
+                tasks.remove(t);
+                t.does.run();
+            }
+        }
+    }
+
+    /** As after a second in which the new process got no part of a core. */
+    @Test
+    public void whoSaysItLateWithinItsOwnPatienceIsLinkedAndTold() throws IOException {
+        passes(2_400_000);
+        held.write(ByteBuffer.wrap("{\"hello\":1,\"id\":\"x\",\"dispatcher\":\"n1 here\"}\n".getBytes(StandardCharsets.UTF_8)));
+        until(() -> old.count() == 1);
+        ByteBuffer state = ByteBuffer.allocate(1000);
+        assertTrue(held.read(state) > 0);
+        String said = new String(state.array(), 0, state.position(), StandardCharsets.UTF_8);
+        assertEquals(said, "as it is", Json.parse(said.strip()).asObject().get("state").asObject().getString("what", ""));
+        passes(10_000_000);
+        assertEquals("and it stays", 1, old.count());
+    }
+
+    @Test
+    public void whoSaysNothingIsLetGo() throws IOException {
+        passes(2_600_000);
+        assertEquals(-1, held.read(ByteBuffer.allocate(1)));
+        assertEquals(0, old.count());
+    }
+
+    // ---- The loop, turned by hand, and what the process knows.
+
+    @Override
+    public SelectionKey register(SelectableChannel channel, int interest, Handler handler) throws IOException {
+        return channel.register(selector, interest, handler);
+    }
+
+    @Override
+    public ByteBuffer readBuffer() {
+        return buffer;
+    }
+
+    @Override
+    public SocketBudget sockets() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public long nowMicros() {
+        return nowMicros;
+    }
+
+    @Override
+    public Timer at(long whenMicros, Runnable does) {
+        Task t = new Task(whenMicros, does);
+        tasks.add(t);
+        return () -> tasks.remove(t);
+    }
+
+    @Override
+    public JsonObject snapshot() {
+        return Json.object().add("what", "as it is");
+    }
+
+    @Override
+    public void callBack(byte[] body) { }
+
+    @Override
+    public void called(String call, String id) { }
+
+    @Override
+    public void peersChanged() { }
+}
