Forget what was learnt under another deployment's settings; measure pace by jobs served

Cause 1: Memory.settings kept buckets, waits, paces and class means by name whoever's settings were read, dearestNs of classes that are gone, and a window of cold sends shorter than the new one; Experience took them over an upgrade. Settings that share no tier, kind, zone or tenant name are another deployment's now: all begins anew.

--- a/core/src/main/java/postgrade/Dispatcher.java
+++ b/core/src/main/java/postgrade/Dispatcher.java
@@ -45,7 +45,10 @@
     /** An operator had taken this worker out and has put it back, restarted; the list before this says so. */
     default void recalled(long nowNs, String workerId) { }
 
-    /** Other settings are in force from now on. Jobs under way keep the class that they came with. */
+    /**
+     * Other settings are in force from now on. Jobs under way keep the class that they came with; where the settings are
+     * another deployment's, nothing else is kept of what was learnt.
+     */
     default void settings(long nowNs, Settings settings) { }
 
     /** So large a part of what this gateway may do is this process's: another one of it lives, or none any more. */
@@ -164,6 +167,7 @@
         public final int gateways;
         public final int gateway;
         public final String zone;
+        public final Deployment deployment;
         public final List<JobClass> classes;
         public final List<Tenant> tenants;
         public final int tableSize;
@@ -203,6 +207,7 @@
             fallMultiple = b.fallMultiple;
             fallNs = b.fallNs;
             tickNs = b.tickNs;
+            deployment = b.fleet.with(Deployment.Sort.TENANT, tenants.stream().map(Tenant::name).toList());
         }
 
         public static Builder builder() {
@@ -214,6 +219,7 @@
             private int gateways = 1;
             private int gateway;
             private String zone = "";
+            private Deployment fleet = Deployment.UNNAMED;
             private List<JobClass> classes = List.of();
             private List<Tenant> tenants = List.of();
             private int tableSize = 4096;
@@ -249,6 +255,12 @@
                 return this;
             }
 
+            /** What the deployment calls its tiers, kinds of machine and zones. */
+            public Builder named(Deployment.Sort sort, List<String> names) {
+                fleet = fleet.with(sort, names);
+                return this;
+            }
+
             public Builder classes(List<JobClass> v) {
                 require(!v.isEmpty(), "classes must not be empty");
                 classes = v;
--- a/core/src/main/java/postgrade/policy/Decide.java
+++ b/core/src/main/java/postgrade/policy/Decide.java
@@ -26,7 +26,6 @@
 
     public Decide(Settings settings, long seed, Actions actions) {
         my = new Memory(settings, seed, actions);
-        my.retryBudget = Retries.RETRY_MOST;
         my.askAgainNs = Workers.AGAIN_NS;
         sight = new Sight(my);
         admission = new Admission(my, sight);
@@ -39,7 +38,7 @@
 
     @Override
     public void settings(long nowNs, Settings settings) {
-        my.settings(settings);
+        my.settings(nowNs, settings);
     }
 
     @Override
@@ -157,7 +156,7 @@
     @Override
     public void learn(long nowNs, List<Learnt> all) {
         Experience.take(nowNs, all, my);
-        my.findDearest();
+        my.weighClasses();
     }
 
     @Override
--- a/core/src/main/java/postgrade/policy/Experience.java
+++ b/core/src/main/java/postgrade/policy/Experience.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import postgrade.Deployment;
 import postgrade.Dispatcher.Learnt;
 import postgrade.policy.State.Bucket;
 import postgrade.policy.State.ClassState;
@@ -24,6 +25,8 @@
     private static final String COLD = "cold";
     /** For how long all that was sent to cold workers is known: what came before a start is not, nor after a crash. */
     private static final String UP = "up";
+    /** Whose figures they are: its sort and a name. */
+    private static final String NAMED = "named ";
     /** Guards the message against tables of thousands of keys; the busiest are the latest. */
     private static final int MOST_BUCKETS = 500;
 
@@ -31,7 +34,7 @@
 
     static List<Learnt> tell(long nowNs, Memory my) {
         List<Learnt> all = new ArrayList<>();
-        my.classes.forEach((name, c) -> add(all, CLASS, name, c.meanNs, c.served, c.failures));
+        my.classes.forEach((name, c) -> add(all, CLASS, name, c.meanNs, c.served, c.failures, c.seenNs));
         my.kinds.forEach((name, k) -> add(all, KIND, name, k.slots, k.pace, k.served, k.waitedNs));
         my.nodes.forEach((name, n) -> add(all, WORKER, name, n.failures, Math.max(0, n.ejectedUntilNs - nowNs),
                 n.ejections, n.pace, n.paced, n.waitedNs, nowNs - n.waitedAtNs, nowNs - n.fullNs, n.untried ? 1 : 0));
@@ -47,6 +50,7 @@
         add(all, FLEET, "", my.usualRoom, my.others);
         tell(all, nowNs, TENANT, my.tenantBuckets);
         tell(all, nowNs, KEY, my.keyBuckets);
+        my.set.deployment.names().forEach((sort, names) -> names.forEach(name -> add(all, NAMED + sort, name)));
         return all;
     }
 
@@ -62,15 +66,27 @@
         all.add(new Learnt(of, name, figures));
     }
 
-    /** Of the buckets' tokens only this process's share is taken; the rest stays with who told. */
+    /**
+     * Of the buckets' tokens only this process's share is taken; the rest stays with who told. What was learnt under
+     * another deployment's settings is passed over, but for what cold workers were sent: that they have had.
+     */
     static void take(long nowNs, List<Learnt> all, Memory my) {
+        // An earlier version tells no names, and is taken for the same.
+        boolean same = deployment(all).same(my.set.deployment);
         for (Learnt l : all) {
             double[] f = l.figures();
+            if (!same && !l.of().equals(COLD)) {
+                continue;
+            }
             switch (l.of()) {
                 case CLASS -> take(my.classes.get(l.name()), f);
                 case KIND -> take(my.kinds.get(l.name()), f);
                 case WORKER -> take(nowNs, my.nodes.get(l.name()), f);
-                case TENANT -> my.tenantBuckets.put(l.name(), bucket(nowNs, f, my.share));
+                case TENANT -> {
+                    if (my.tenantRates.containsKey(l.name())) {
+                        my.tenantBuckets.put(l.name(), bucket(nowNs, f, my.share));
+                    }
+                }
                 case KEY -> my.keyBuckets.put(l.name(), bucket(nowNs, f, my.share));
                 case COLD -> cold(nowNs, my.nodes.get(l.name()), f);
                 case UP -> my.bootNs = Math.min(my.bootNs < 0 ? nowNs : my.bootNs, nowNs - (long) f[0]);
@@ -83,11 +99,20 @@
         }
     }
 
+    private static Deployment deployment(List<Learnt> all) {
+        Deployment told = Deployment.UNNAMED;
+        for (Deployment.Sort sort : Deployment.Sort.values()) {
+            told = told.with(sort, all.stream().filter(l -> l.of().equals(NAMED + sort)).map(Learnt::name).toList());
+        }
+        return told;
+    }
+
     private static void take(ClassState c, double[] f) {
         if (c != null) {
             c.meanNs = f[0];
             c.served = (long) f[1];
             c.failures = f[2];
+            c.seenNs = f.length > 3 ? f[3] : f[0]; // An earlier version tells one mean.
         }
     }
 
--- a/core/src/main/java/postgrade/policy/Memory.java
+++ b/core/src/main/java/postgrade/policy/Memory.java
@@ -34,9 +34,11 @@
     final List<Node> ready = new ArrayList<>();
     final Map<String, Held> jobs = new LinkedHashMap<>();
     double dearestNs = State.UNKNOWN_NS;
+    /** Slots of the whole fleet that all tenants' jobs within their rates take up. */
+    private double ratedSlots;
     double meanWeight = 1;
     boolean reported;
-    final Fading slotTimeServed = new Fading();
+    Fading slotTimeServed = new Fading();
     /** The part of the fleet that is usually free of the other gateways' jobs. */
     double usualRoom = 1;
     /** How much of an even share the other gateways are taken to hold. */
@@ -52,18 +54,51 @@
         random = new SplittableRandom(seed);
         tenantBuckets = new Table<>(settings.tableSize);
         keyBuckets = new Table<>(settings.tableSize);
-        settings(settings);
+        settings(0, settings);
     }
 
-    /** Buckets, counts and what was learnt stay; jobs under way hold the class that they came with. */
-    void settings(Settings settings) {
-        set = settings;
-        Map<String, ClassState> former = Map.copyOf(classes);
+    /**
+     * Under the same deployment's settings counts and what was learnt stay, but of what the settings no longer name. Under
+     * another's all begins anew as at a start. Either way jobs under way hold the class that they came with.
+     */
+    void settings(long nowNs, Settings next) {
+        Settings former = set;
+        set = next;
+        boolean same = former != null && former.deployment.same(next.deployment);
+        Map<String, ClassState> known = same ? Map.copyOf(classes) : Map.of();
         classes.clear();
-        settings.classes.forEach(c -> classes.put(c.name(), new ClassState(c, former.get(c.name()))));
+        next.classes.forEach(c -> classes.put(c.name(), new ClassState(c, known.get(c.name()))));
         tenantRates.clear();
-        settings.tenants.forEach(t -> tenantRates.put(t.name(), t.ratePerS() / settings.gateways));
+        next.tenants.forEach(t -> tenantRates.put(t.name(), t.ratePerS() / next.gateways));
         allRates = tenantRates.values().stream().mapToDouble(r -> r).sum();
+        if (!same) {
+            forget();
+        }
+        tenantBuckets.keySet().retainAll(tenantRates.keySet());
+        weighClasses();
+        if (former != null && (next.fallNs > former.fallNs || next.warmWithinNs > former.warmWithinNs
+                || next.coldShare < former.coldShare)) {
+            // Guards workers that count as cold only now: what was sent to them has not been counted, or not for so long.
+            bootNs = nowNs;
+        }
+    }
+
+    /** What it knows of jobs and of how workers do. Which workers there are and what they hold of ours is no figure. */
+    private void forget() {
+        tenantBuckets.clear();
+        keyBuckets.clear();
+        kinds.values().forEach(Kind::forget);
+        nodes.values().forEach(n -> {
+            n.forget();
+            n.waitedAtNs = 0;
+            n.roomAtNs = 0;
+        });
+        reported = false;
+        slotTimeServed = new Fading();
+        usualRoom = 1;
+        others = 1;
+        allFailures = 0;
+        retryBudget = Retries.RETRY_MOST;
     }
 
     /** The rest of the tokens is another process's now. */
@@ -81,7 +116,14 @@
                 : classes.values().stream().mapToDouble(c -> c.served * c.meanNs).sum() / served;
     }
 
-    void findDearest() {
+    /** What the classes' running times come to, once one of them is known better. */
+    void weighClasses() {
         dearestNs = classes.values().stream().mapToDouble(c -> c.meanNs).max().orElse(dearestNs);
+        ratedSlots = allRates > 0 ? allRates * set.gateways * meanNs() / 1e9 : Double.MAX_VALUE;
+    }
+
+    /** Its part of the slots that the tenants' rates take up, which the fleet can serve: it has as many for sure. */
+    double ratedSlots(Node n) {
+        return ratedSlots / Math.max(1, ready.size()) * (n.info.weight() > 0 ? n.info.weight() / meanWeight : 1);
     }
 }
--- a/core/src/main/java/postgrade/policy/Sight.java
+++ b/core/src/main/java/postgrade/policy/Sight.java
@@ -98,9 +98,9 @@
         ClassState cls = a.held.cls;
         double ran = nowNs - (a.startedNs >= 0 ? a.startedNs : a.sentNs);
         double warm = ran / slowness(nowNs, a.node);
-        cls.meanNs += Math.max(LEARN, 1.0 / (++cls.served + 1)) * (warm - cls.meanNs);
-        my.findDearest();
-        double pace = Math.max(1 / MOST_PACE, Math.min(MOST_PACE, warm / Math.max(1, cls.meanNs)));
+        cls.learn(warm, LEARN);
+        my.weighClasses();
+        double pace = Math.max(1 / MOST_PACE, Math.min(MOST_PACE, warm / Math.max(1, cls.seenNs)));
         a.node.kind.pace += Math.max(LEARN, 1.0 / (++a.node.kind.served + 1)) * (pace - a.node.kind.pace);
         a.node.paced = Math.min(MOST_PACED, a.node.paced + 1);
         a.node.pace += (pace - a.node.pace) / a.node.paced;
--- a/core/src/main/java/postgrade/policy/State.java
+++ b/core/src/main/java/postgrade/policy/State.java
@@ -31,6 +31,13 @@
         long served;
         /** How long our latest jobs waited at workers of this kind before they started. */
         double waitedNs;
+
+        void forget() {
+            slots = 0;
+            pace = 1;
+            served = 0;
+            waitedNs = 0;
+        }
     }
 
     /** A worker as this gateway sees it. */
@@ -139,7 +146,10 @@
 
     static final class ClassState {
         final JobClass is;
+        /** Of those served, and of one more of the running time that is assumed before any was. */
         double meanNs = UNKNOWN_NS;
+        /** Of those served alone: what is assumed says nothing of how fast a worker is. */
+        double seenNs;
         double failures;
         long served;
 
@@ -148,11 +158,19 @@
             this.is = is;
             if (former != null) {
                 meanNs = former.meanNs;
+                seenNs = former.seenNs;
                 failures = former.failures;
                 served = former.served;
             }
         }
 
+        /** @param least the latest job counts for this part at least */
+        void learn(double ranNs, double least) {
+            served++;
+            seenNs += Math.max(least, 1.0 / served) * (ranNs - seenNs);
+            meanNs += Math.max(least, 1.0 / (served + 1)) * (ranNs - meanNs);
+        }
+
         /** Within so long a job of mean length is in time. */
         double inTimeNs() {
             return is.aimNs() + is.aimStretch() * meanNs;
--- a/core/src/main/java/postgrade/settings/SettingsReader.java
+++ b/core/src/main/java/postgrade/settings/SettingsReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import postgrade.Deployment;
 import postgrade.Dispatcher.Effect;
 import postgrade.Dispatcher.Group;
 import postgrade.Dispatcher.JobClass;
@@ -59,6 +60,9 @@
                 .gateways((int) number("balancers", 1))
                 .gateway((int) number("index", 0))
                 .zone(text("zone", ""))
+                .named(Deployment.Sort.TIER, list("tiers"))
+                .named(Deployment.Sort.KIND, kinds)
+                .named(Deployment.Sort.ZONE, list("dcs"))
                 .classes(classes)
                 .tenants(tenants)
                 .asksForList("ask".equals(pairs.get("discovery")))
--- /dev/null
+++ b/core/src/test/java/postgrade/policy/OtherDeploymentTest.java
@@ -0,0 +1,232 @@
+package postgrade.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import postgrade.Deployment;
+import postgrade.Dispatcher.Effect;
+import postgrade.Dispatcher.Group;
+import postgrade.Dispatcher.Job;
+import postgrade.Dispatcher.JobClass;
+import postgrade.Dispatcher.Learnt;
+import postgrade.Dispatcher.ListForm;
+import postgrade.Dispatcher.Load;
+import postgrade.Dispatcher.Outcome;
+import postgrade.Dispatcher.Phase;
+import postgrade.Dispatcher.Settings;
+import postgrade.Dispatcher.Tenant;
+import postgrade.Dispatcher.Worker;
+
+/** Settings of another customer, read under way or by the process that takes over: nothing of the first is left. */
+class OtherDeploymentTest {
+
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+    /** The first customer's jobs and troubles fall into this time. */
+    private static final long LATER = 30 * SECOND;
+    private static final List<Worker> WORKERS = Stream.of("w1", "w2", "w3")
+            .map(id -> new Worker(id, "z", "k", 0, Phase.READY, 1, 0)).toList();
+    /** What a worker or a job has of ours is a fact, whoever's settings are in force, and chance is chance. */
+    private static final Set<String> FACTS = Set.of("random", "out", "ability", "jobs", "askAgainNs", "usedAverage", "usedAtNs",
+            "coldSends", "coldSpent", "id", "hash", "info");
+
+    private final Recorder out = new Recorder();
+    private int jobs;
+
+    /** Both call a class, a tenant, a machine kind and a zone the same. */
+    private static Settings.Builder first() {
+        return Settings.builder()
+                .named(Deployment.Sort.TIER, List.of("shops")).named(Deployment.Sort.KIND, List.of("k", "k1"))
+                .named(Deployment.Sort.ZONE, List.of("z"))
+                .classes(List.of(JobClass.of("both", Effect.SAFE), JobClass.of("first", Effect.SAFE)))
+                .tenants(List.of(new Tenant("t", 4), new Tenant("t1", 4)))
+                .tellsStart(true).maxAttempts(4).maxRetryAfterNs(2 * SECOND).cold(0.2, 10 * SECOND).fall(3, SECOND);
+    }
+
+    private static Settings.Builder second() {
+        return Settings.builder()
+                .named(Deployment.Sort.TIER, List.of("yards")).named(Deployment.Sort.KIND, List.of("k", "k2"))
+                .named(Deployment.Sort.ZONE, List.of("z"))
+                .classes(List.of(JobClass.of("second", Effect.SAFE), new JobClass("both", Effect.UNSAFE, Group.ALL, 0,
+                        SECOND / 2, 0, 9, 0, null, false)))
+                .tenants(List.of(new Tenant("t2", 8), new Tenant("t", 40)))
+                .tellsStart(true).maxAttempts(2).maxRetryAfterNs(SECOND).cold(0.1, 20 * SECOND).fall(2, 2 * SECOND);
+    }
+
+    private String job(Decide d, long nowNs, String jobClass, String tenant) {
+        String id = "j" + jobs++;
+        d.job(nowNs, new Job(id, jobClass, tenant, "user", 5 * SECOND, 1, 0));
+        return id;
+    }
+
+    private Decide started(Settings settings, long nowNs) {
+        Decide d = new Decide(settings, 7, out);
+        d.list(nowNs, ListForm.FULL, WORKERS);
+        return d;
+    }
+
+    /** Under the first customer: long waits and runs, failures, an ejection, reports, buckets that are empty. */
+    private Decide troubled(Settings settings) {
+        Decide d = started(settings, 0);
+        for (int i = 0; i < 60; i++) {
+            long now = i * 100 * MS;
+            String id = job(d, now, i % 5 < 3 ? "both" : "first", i % 3 == 0 ? "t1" : "t");
+            if (out.sentTo(id).isEmpty()) {
+                continue;
+            }
+            d.started(now + 700 * MS, id, 0);
+            boolean fails = out.sentTo(id).equals("w1");
+            d.finished(now + 800 * MS, id, 0, fails ? Outcome.ERROR : Outcome.SERVED, true, new Load(i % 7, 0, 0, 0));
+        }
+        return d;
+    }
+
+    @Test
+    void nothingLearntUnderTheFirstIsLeftUnderTheSecond() throws Exception {
+        Decide d = troubled(first().build());
+        assertNotEquals(memory(started(first().build(), 0)), memory(d), "it had learnt something");
+        d.settings(LATER, second().build());
+        d.list(LATER, ListForm.FULL, WORKERS);
+        assertEquals(memory(started(second().build(), LATER)), memory(d));
+    }
+
+    @Test
+    void underTheSameDeploymentItStaysButForWhatTheSettingsNoLongerName() throws Exception {
+        Decide d = troubled(first().build());
+        Object before = memory(d);
+        d.settings(LATER, first().build());
+        assertEquals(before, memory(d));
+        d.settings(LATER, first().classes(List.of(JobClass.of("first", Effect.SAFE)))
+                .tenants(List.of(new Tenant("t1", 4))).build());
+        Memory my = (Memory) field(d, "my");
+        assertEquals(Set.of("first"), my.classes.keySet());
+        assertTrue(my.classes.get("first").served > 0, "what it knew of that one it knows");
+        assertEquals(Set.of("t1"), my.tenantBuckets.keySet());
+        assertFalse(my.keyBuckets.isEmpty());
+    }
+
+    /** What a class's dearest job costs bounds how many gateways may send to a cold worker. */
+    @Test
+    void theDearestClassIsOneThatThereIs() throws Exception {
+        Decide d = troubled(first().build());
+        d.settings(LATER, first().classes(List.of(JobClass.of("fresh", Effect.SAFE))).build());
+        assertEquals(State.UNKNOWN_NS, ((Memory) field(d, "my")).dearestNs);
+    }
+
+    @Test
+    void aNewProcessOfTheSecondTakesNothingThatTheFirstHasLearnt() throws Exception {
+        Decide old = troubled(first().cold(1, 0).build());
+        List<Learnt> told = old.learnt(LATER);
+        Decide fresh = started(second().build(), LATER);
+        fresh.learn(LATER, told);
+        assertEquals(memory(started(second().build(), LATER)), memory(fresh));
+        Decide same = started(first().build(), LATER);
+        same.learn(LATER, told);
+        assertNotEquals(memory(started(first().build(), LATER)), memory(same), "one of the first does");
+        Decide fewer = started(first().tenants(List.of(new Tenant("t1", 4))).build(), LATER);
+        fewer.learn(LATER, told);
+        assertEquals(Set.of("t1"), ((Memory) field(fewer, "my")).tenantBuckets.keySet());
+    }
+
+    /** The limits, the effect and the names of the second, for jobs that come after it. */
+    @Test
+    void theSecondsLimitsAndEffectsHoldAtOnceAndJobsUnderWayKeepTheirClass() {
+        Decide d = started(first().build(), 0);
+        String underWay = job(d, 0, "both", null);
+        d.settings(MS, second().build());
+        String once = job(d, MS, "both", null);
+        d.finished(MS, once, 0, Outcome.ERROR, false, Load.NONE);
+        assertEquals("fail " + once, out.last("fail"), "it may have run, and must not run twice");
+        long sent = out.count("send " + underWay);
+        d.finished(MS, underWay, 0, Outcome.ERROR, false, Load.NONE);
+        assertTrue(out.count("send " + underWay) > sent || out.last("refuse").contains(underWay),
+                "taken as one that may be repeated");
+        assertThrows(IllegalArgumentException.class, () -> job(d, MS, "first", null));
+        int admitted = 0;
+        for (int i = 0; i < 100; i++) {
+            long before = out.count("send");
+            String id = job(d, MS, "second", "t2");
+            admitted += out.count("send") - before;
+            d.finished(MS, id, 0, Outcome.SERVED, true, Load.NONE);
+        }
+        assertTrue(admitted >= 16, admitted + " of a burst of two seconds of 8");
+    }
+
+    /** What was sent before is not counted under other rules on cold workers: one window passes first. */
+    @Test
+    void underStricterRulesOnColdWorkersOneWindowPassesFirst() {
+        for (boolean stricter : new boolean[] {false, true}) {
+            Decide d = new Decide(first().build(), 7, out);
+            d.list(0, ListForm.FULL, List.of(new Worker("w1", "z", "k", 0, Phase.READY, 1, LATER - 5 * SECOND)));
+            d.settings(LATER, stricter ? first().fall(3, 2 * SECOND).build() : first().build());
+            long before = out.count("send");
+            job(d, LATER + MS, "both", null);
+            assertEquals(stricter ? before : before + 1, out.count("send"));
+            job(d, LATER + 2 * SECOND, "both", null);
+            assertTrue(out.count("send") > before);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Deployment.Sort.class)
+    void oneSortOfNamesWithNoneInCommonTellsAnotherDeployment(Deployment.Sort sort) {
+        Deployment a = Deployment.UNNAMED;
+        for (Deployment.Sort s : Deployment.Sort.values()) {
+            a = a.with(s, List.of("x", "y"));
+        }
+        assertTrue(a.same(a.with(sort, List.of("y", "z"))), "names come and go");
+        assertTrue(a.same(a.with(sort, List.of())), "where nothing is named nothing is told");
+        assertFalse(a.same(a.with(sort, List.of("z"))));
+        assertFalse(a.with(sort, List.of("z")).same(a));
+    }
+
+    // ---- All fields of the memory, so that one added later is either begun anew or named a fact.
+
+    private static Object memory(Decide d) throws Exception {
+        return plain(field(d, "my"));
+    }
+
+    private static Object field(Object of, String name) throws Exception {
+        Field f = of.getClass().getDeclaredField(name);
+        f.setAccessible(true);
+        return f.get(of);
+    }
+
+    private static Object plain(Object o) throws Exception {
+        if (o instanceof Map<?, ?> map) {
+            Map<String, Object> all = new TreeMap<>();
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                all.put(e.getKey().toString(), plain(e.getValue()));
+            }
+            return all;
+        }
+        if (o instanceof Collection<?> list) {
+            return list.size();
+        }
+        if (o == null || o instanceof Settings || !o.getClass().getName().startsWith("postgrade.policy.")) {
+            return o instanceof Settings ? "" : String.valueOf(o);
+        }
+        Map<String, Object> all = new TreeMap<>();
+        for (Field f : o.getClass().getDeclaredFields()) {
+            if (!Modifier.isStatic(f.getModifiers()) && !FACTS.contains(f.getName())) {
+                f.setAccessible(true);
+                all.put(f.getName(), plain(f.get(o)));
+            }
+        }
+        return all;
+    }
+}
