Let nothing that is no longer wanted, or meant for another address, reach a worker

Causes, by reading and then by stories on real sockets and turned time (LateDialTest): - Gateway.abandon and Orders.refuse left a call that waits for its connection to the module's cancel, which comes later in the turn, and never where the settings forbid cancelling: it was written once its connection was up, whoever waited for it. - Pool.cameUp wrote in the turn's midst, before the channels behind it were served and due timers had run: in a late turn ahead of the consumer's end that had come before. - Pool.send's timer for a connection put off by the pace belonged to one request. When another's connect failed, the one put off was failed in its place, and the other was left with neither a connection nor a timer until its deadline. - Pool.free kept a connection, in use or on its way, when the list had named another address for its worker, and the next jobs went to the former process.

Change: Endings.withdraw takes back, at once, what has not been written whole. A connection that has come up takes what waits at the end of the turn's timers. What waits is counted against the connections that will come (Pool.lacksOne). A link knows where it leads and is closed where that is no longer its worker's address.

Tests: each of the four, and that of a repeat past its window (InvokerCall.writtenByMicros, which was right), fails with its mechanism off (tried: the deferral, the withdrawal on leaving, the timer bound to its request, the address, the window). The drain in the turn of coming up was right; its story fails without Pool.drain's withdrawal.

--- a/core/src/main/java/postgrade/gateway/Endings.java
+++ b/core/src/main/java/postgrade/gateway/Endings.java
@@ -85,17 +85,26 @@
      */
     void failed(Invocation in, boolean timedOut) {
         answer(in, false);
+        withdraw(in);
+        if (in.calls.stream().allMatch(InvokerCall::sentNowhere)) {
+            in.consumer.reject(Gateway.FULL_RETRY_MICROS);
+        } else {
+            in.consumer.fail(timedOut);
+        }
+    }
+
+    /**
+     * Takes back the calls of an answered or abandoned invocation that have not been written whole. Guards the providers, in
+     * the moment in which nobody waits any more: the module's own cancel comes later in the turn, or never where calls may
+     * not be cancelled, and a connection may come up before it.
+     */
+    void withdraw(Invocation in) {
         for (InvokerCall call : in.calls) {
             if (call.out() && call.handle != null && !call.handle.written()) {
                 call.handle.giveUp(() -> { });
                 end(call, Outcome.NOT_SENT, null);
             }
         }
-        if (in.calls.stream().allMatch(InvokerCall::sentNowhere)) {
-            in.consumer.reject(Gateway.FULL_RETRY_MICROS);
-        } else {
-            in.consumer.fail(timedOut);
-        }
     }
 
     void overdue(Invocation in) {
--- a/core/src/main/java/postgrade/gateway/Gateway.java
+++ b/core/src/main/java/postgrade/gateway/Gateway.java
@@ -113,6 +113,7 @@
         if (!in.answered) {
             endings.conclude(in);
             endings.tell(in, now -> module.abandoned(now, in.id));
+            endings.withdraw(in);
         }
     }
 
--- a/core/src/main/java/postgrade/gateway/Orders.java
+++ b/core/src/main/java/postgrade/gateway/Orders.java
@@ -56,6 +56,7 @@
             Invocation in = open.get(jobId);
             if (in != null && !in.answered) {
                 endings.answer(in, false);
+                endings.withdraw(in);
                 in.consumer.reject(retryAfterNs / NANOS);
             }
         });
--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -1,5 +1,6 @@
 package postgrade.provider;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import postgrade.gateway.Timers;
 import postgrade.http.BadMessage;
@@ -10,6 +11,7 @@
 /** One connection to a provider. It carries one request at a time and never sends one again. */
 final class Link implements Connection.Owner {
     final Pool pool;
+    final InetSocketAddress to;
     final MessageParser parser = MessageParser.ofResponses();
     Connection connection;
     Request request;
@@ -19,8 +21,9 @@
     long freeMicros;
     long idleMicros;
 
-    Link(Pool pool) {
+    Link(Pool pool, InetSocketAddress to) {
         this.pool = pool;
+        this.to = to;
     }
 
     void carry(Request r) {
@@ -84,9 +87,6 @@
         boolean written = connection.allSent();
         connection.close();
         pool.dropped(this);
-        if (!up) {
-            pool.connectFailed();
-        }
         Request lost = request;
         request = null;
         if (lost != null) {
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -23,9 +23,13 @@
     /** Calls, and requests that give up, which keep the pool although the list has dropped the provider. */
     int users;
     private final ArrayDeque<Link> idle = new ArrayDeque<>();
+    /** Have come up, and take what waits at the end of the turn. */
+    private final ArrayDeque<Link> fresh = new ArrayDeque<>();
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private int connecting;
     private int up;
+    /** Connections that are opened against the pace once patience ends, if something still waits for them then. */
+    private int postponed;
     private final Supplier<Pacing> pacing;
 
     Pool(String id, Reactor reactor, Timers timers, LongSupplier connectTimeoutMicros, KeepAlive keepAlive,
@@ -43,30 +47,42 @@
     }
 
     void send(Request r) {
+        Link link = takeIdle();
+        if (link != null) {
+            link.carry(r);
+            return;
+        }
+        waiting.add(r);
+        Pacing pace = pacing.get();
+        boolean must = !connected();
+        if (pace == null || pace.mayOpen(id, must) || must) {
+            if (!open()) {
+                waitInVain(r);
+            }
+        } else {
+            postponed++;
+            timers.at(timers.nowMicros() + PATIENCE_MICROS, () -> {
+                postponed--;
+                if (lacksOne()) {
+                    pace.mayOpen(id, true); // Guards the request's time: what it waits for may be stuck.
+                    openInPlace();
+                }
+            });
+        }
+    }
+
+    private Link takeIdle() {
         for (Link link = idle.pollLast(); link != null; link = idle.pollLast()) {
             link.timer.cancel();
             // Guards against a connection that its provider has closed since the loop last looked at it, and one that
             // has been idle for too long by what has been learnt since.
             link.idleMicros = timers.nowMicros() - link.freeMicros;
             if (link.idleMicros < keepAlive.limitMicros(timers.nowMicros()) && link.connection.stillOpen()) {
-                link.carry(r);
-                return;
+                return link;
             }
             link.fail();
         }
-        Pacing pace = pacing.get();
-        boolean must = !connected();
-        if (pace != null && !pace.mayOpen(id, must) && !must) {
-            waiting.add(r);
-            timers.at(timers.nowMicros() + PATIENCE_MICROS, () -> {
-                if (waiting.remove(r)) {
-                    pace.mayOpen(id, true); // Guards the request's time: what it waits for may be stuck.
-                    open(r);
-                }
-            });
-        } else {
-            open(r);
-        }
+        return null;
     }
 
     /** A connection is up, in use or not, or on its way. */
@@ -74,24 +90,53 @@
         return up + connecting > 0;
     }
 
-    private void open(Request r) {
-        Link link = new Link(this);
+    /** More requests wait than connections will come for them. */
+    private boolean lacksOne() {
+        return waiting.size() > connecting + fresh.size() + postponed;
+    }
+
+    /** False if no socket is to be had. */
+    private boolean open() {
+        Link link = new Link(this, address);
         link.connection = Connection.open(reactor, address, link, false);
         if (link.connection == null) {
-            r.over = true;
-            r.broken(Request.Break.NEVER_WRITTEN);
-            return;
+            return false;
         }
         connecting++;
-        waiting.add(r);
         link.timer = timers.at(timers.nowMicros() + connectTimeoutMicros.getAsLong(), link::fail);
+        return true;
+    }
+
+    /** One more for what has waited. */
+    private void openInPlace() {
+        if (!open()) {
+            connectFailed();
+        }
+    }
+
+    /** A connect failed: the request that has waited longest has lost its connection, unless another is due. */
+    private void connectFailed() {
+        if (lacksOne()) {
+            waitInVain(waiting.peek());
+        }
     }
 
-    /** A link has come up or has been answered. */
+    private void waitInVain(Request r) {
+        waiting.remove(r);
+        r.over = true;
+        r.broken(Request.Break.NEVER_WRITTEN);
+    }
+
+    /** A link may carry the next request: it has been answered, or has come up. */
     void free(Link link) {
         link.idleMicros = 0;
-        Request next = nextInTime();
-        if (next == null) {
+        Request next = link.to.equals(address) ? nextInTime() : null;
+        if (!link.to.equals(address)) {
+            link.fail(); // Guards against a former process under this id: the list has named another address meanwhile.
+            if (lacksOne()) {
+                openInPlace();
+            }
+        } else if (next == null) {
             link.freeMicros = timers.nowMicros();
             idle.add(link);
             link.connection.idle(true, false);
@@ -113,12 +158,21 @@
         return next;
     }
 
+    /**
+     * Guards against a request whose consumer has left or whose time is over, of which we shall read later in this
+     * turn: nothing is written before all channels have been served and the timers that are due have run.
+     */
     void cameUp(Link link) {
         link.up = true;
         link.timer.cancel();
         connecting--;
         up++;
-        free(link);
+        fresh.add(link);
+        timers.at(timers.nowMicros(), () -> {
+            if (fresh.remove(link)) {
+                free(link);
+            }
+        });
     }
 
     void dropped(Link link) {
@@ -126,8 +180,12 @@
         link.timer.cancel();
         if (link.up) {
             up--;
+            if (fresh.remove(link)) {
+                connectFailed();
+            }
         } else {
             connecting--;
+            connectFailed();
         }
     }
 
@@ -136,15 +194,6 @@
         keepAlive.broke(timers.nowMicros(), idleMicros);
     }
 
-    /** A connect failed: the request that has waited longest has lost its connection, unless another is due. */
-    void connectFailed() {
-        if (waiting.size() > connecting) {
-            Request r = waiting.poll();
-            r.over = true;
-            r.broken(Request.Break.NEVER_WRITTEN);
-        }
-    }
-
     void withdraw(Request r) {
         waiting.remove(r);
         r.over = true;
--- a/daemon/src/test/java/postgrade/daemon/AttemptStage.java
+++ b/daemon/src/test/java/postgrade/daemon/AttemptStage.java
@@ -3,17 +3,15 @@
 import static org.junit.Assert.assertEquals;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.After;
 import org.junit.Before;
-import postgrade.Dispatcher.JobClass;
-import postgrade.Dispatcher.Effect;
 import postgrade.discovery.Hand;
 import postgrade.gateway.Consumer;
 import postgrade.gateway.Gateway;
@@ -31,8 +29,6 @@
 
     static final long MILLI = 1_000;
     static final long DEADLINE = 15_000 * MILLI;
-    /** As long as a worker needs in earnest to come up, answer or say something more. */
-    static final long SOON = 5 * MILLI;
 
     final Hand hand;
     final List<String> answers = new ArrayList<>();
@@ -47,6 +43,8 @@
         hand = new Hand();
         one = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         two = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        one.setSoTimeout(Peer.PATIENCE_S * 1000);
+        two.setSoTimeout(Peer.PATIENCE_S * 1000);
     }
 
     boolean mayDuplicate() {
@@ -79,11 +77,6 @@
         pools.list(false, List.of(targets));
     }
 
-    static JobClass keyed(String name, long windowMicros) {
-        JobClass like = JobClass.of(name, Effect.KEYED);
-        return new JobClass(name, like.effect(), like.group(), windowMicros * 1000, like.aimNs(), 0, 1, 0, null, false);
-    }
-
     /** A consumer's job, taken over but not yet decided on. */
     Invocation open(String id, String jobClass) {
         Invocation in = new Invocation(id, jobClass, null, null, 1, 0, hand.nowMicros() + DEADLINE,
