Never send a worker a second attempt beside one that is out there, also where copies are allowed

Cause: Orders.carryOut asked only whether duplicates are allowed. Where they are, a second call could go to the worker that has the first, which the protocol forbids. The module does not ask for that today; nothing but its own order of checks kept it.

Test: CopiesTest, on real sockets; fails without the change (tried).

--- a/core/src/main/java/postgrade/gateway/Orders.java
+++ b/core/src/main/java/postgrade/gateway/Orders.java
@@ -97,7 +97,8 @@
         long until = limitNs == 0 ? in.deadlineMicros : Math.min(in.deadlineMicros, now + limitNs / NANOS);
         InvokerCall call = new InvokerCall(in, in.calls.size(), providerId, until, now + windowNs / NANOS);
         call.beganMicros = now;
-        boolean second = in.callsOut > 0 && !in.mayDuplicate;
+        // Also where duplicates are allowed a provider has one call of an invocation at a time.
+        boolean second = in.callsOut > 0 && (!in.mayDuplicate || in.callOutAt(providerId) != null);
         in.calls.add(call);
         in.callsOut++;
         // Guards the providers: the consumer's end may have come since the loop last looked, or lie behind other bytes.
