End a given-up attempt only when it has ended: crossing 202s, spoilt answers, limits, call-backs

Causes, by reading and then by stories on real sockets and turned time (GiveUpCrossingTest): - ProviderPools.Call.giveUp closed a connection whose 202 could be on its way, and CLOSED_MICROS counted the attempt as given up 100 ms on though its DELETE might still wait for a connection. What came may have been a 202, after which a broken connection ends nothing: the job ran on beside the second attempt, and its result was passed over. - GiveUp.again ended with the call's own limit instead of the consumer's deadline, whatever the DELETE had come to. - GiveUp went on after the call had ended by a call-back: its next DELETE could end the next attempt at the same worker.

Change: a call that is given up without a 202 keeps its connection for 100 ms and listens. A 202 or a part of an answer makes the DELETE's answer decide; an end of the connection means that the worker has dropped it; silence ends in a close, which gives up by itself, as before. A break in an answer is given up by DELETE before the module hears RESET, and call-backs still count until then. A call-back ends the giving up.

No older test was changed.

--- a/core/src/main/java/postgrade/gateway/InvokerCall.java
+++ b/core/src/main/java/postgrade/gateway/InvokerCall.java
@@ -49,6 +49,11 @@
         return untilMicros;
     }
 
+    /** When the invocation's consumer stops waiting: until then it may be sent again. */
+    public long deadlineMicros() {
+        return invocation.deadlineMicros;
+    }
+
     /** After this it may not be written any more: a repeat that comes to its provider later would run again. */
     public long writtenByMicros() {
         return writtenByMicros;
--- /dev/null
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -0,0 +1,239 @@
+package postgrade.provider;
+
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntConsumer;
+import postgrade.Dispatcher.Outcome;
+import postgrade.gateway.Gateway;
+import postgrade.gateway.InvokerCall;
+import postgrade.gateway.Payload;
+import postgrade.gateway.Providers;
+import postgrade.gateway.Timers;
+import postgrade.http.Message;
+import postgrade.http.MessageWriter;
+
+/** One call to a provider, and how far it has come on the wire. */
+final class Call extends Request implements Providers.Handle {
+
+    /** How far it has come. What follows what stands in {@link #NEXT} alone. */
+    enum State {
+        /** Waits for a connection or for its answer: {@link #link} and what has been written tell which. */
+        OUT,
+        /** The provider has answered 202, and its call-back is awaited. */
+        TAKEN,
+        /** The provider may have it, and is being told to drop it. */
+        GIVING_UP,
+        ENDED
+    }
+
+    static final Map<State, Set<State>> NEXT = Map.of(
+            State.OUT, EnumSet.of(State.TAKEN, State.GIVING_UP, State.ENDED),
+            State.TAKEN, EnumSet.of(State.GIVING_UP, State.ENDED),
+            State.GIVING_UP, EnumSet.of(State.ENDED),
+            State.ENDED, EnumSet.noneOf(State.class));
+
+    /** A call ended by its call-back leaves its connection once the 202 comes, which is due by then. */
+    private static final long ANSWER_MICROS = 1_000_000;
+    /** A 202 that was on its way when the call was given up has come by then. */
+    private static final long CROSSING_MICROS = 100_000;
+
+    private final Gateway gateway;
+    private final Timers timers;
+    private final Pool pool;
+    private final InvokerCall call;
+    private final String fence;
+    private final IntConsumer givingUp;
+    private State state = State.OUT;
+    private boolean accepted;
+    private boolean reached;
+    /** Not null from the state {@link State#GIVING_UP} on. */
+    private GiveUp giveUp;
+
+    /**
+     * @param fence the claim it goes with, or null
+     * @param givingUp counts those that are being given up
+     */
+    Call(Gateway gateway, Timers timers, Pool pool, InvokerCall call, String fence, IntConsumer givingUp) {
+        super(call.payload().body());
+        this.gateway = gateway;
+        this.timers = timers;
+        this.pool = pool;
+        this.call = call;
+        this.fence = fence;
+        this.givingUp = givingUp;
+    }
+
+    /** False, and nothing changes, where the one does not follow the other. */
+    private boolean to(State next) {
+        boolean follows = NEXT.get(state).contains(next);
+        if (follows) {
+            state = next;
+        }
+        return follows;
+    }
+
+    @Override
+    byte[] head() {
+        Payload p = call.payload();
+        return MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
+                .header("X-Request-Id", call.id()).header("X-Fence", fence)
+                .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
+                .header("Idempotency-Key", p.idempotencyKey())
+                .header("Content-Type", p.contentType()).headFor(p.body());
+    }
+
+    @Override
+    boolean isNewWork() {
+        return true;
+    }
+
+    @Override
+    boolean isLate(long nowMicros) {
+        return nowMicros > call.writtenByMicros() || call.unwanted();
+    }
+
+    /** The wire or a call-back has told of the end: what is still asked of the provider is asked no more. */
+    private boolean over() {
+        if (!to(State.ENDED)) {
+            return false;
+        }
+        if (giveUp == null) {
+            pool.users--;
+        }
+        return true;
+    }
+
+    private void end(Outcome outcome) {
+        if (over()) {
+            gateway.ended(call, outcome);
+            stopGivingUp();
+        }
+    }
+
+    private void stopGivingUp() {
+        if (giveUp != null) {
+            giveUp.stop();
+        }
+    }
+
+    @Override
+    void answered(Message response) {
+        int status = response.status();
+        boolean neverRan = "1".equals(response.header("x-not-run"));
+        if (status == 202) {
+            accepted = true; // Its end comes by a call-back, or by the answer to a DELETE under way.
+            to(State.TAKEN);
+        } else if (status == 503 || status == 504) {
+            end(neverRan ? Outcome.FULL : Outcome.ERROR);
+        } else if (status / 100 == 4 && status != 408 && status != 429) {
+            if (over()) {
+                gateway.unusable(call);
+                stopGivingUp();
+            }
+        } else {
+            end(Outcome.ERROR);
+        }
+    }
+
+    @Override
+    void broken(Break how) {
+        switch (how) {
+            case NEVER_WRITTEN -> end(Outcome.UNREACHABLE);
+            case DRAINED, TOO_LATE -> end(Outcome.NOT_SENT);
+            case AFTER_LAST_BYTE -> {
+                reached = true;
+                if (state == State.GIVING_UP) {
+                    giveUp.finish(); // The connection ended before any 202.
+                } else {
+                    end(Outcome.RESET);
+                }
+            }
+            case IN_ANSWER -> {
+                reached = true;
+                // Guards against a second call beside one that runs: what came may have been a 202, after which a broken
+                // connection ends nothing.
+                if (to(State.GIVING_UP)) {
+                    dropBy(() -> gateway.ended(call, Outcome.RESET));
+                }
+            }
+        }
+    }
+
+    @Override
+    public boolean written() {
+        return accepted || reached || super.written();
+    }
+
+    @Override
+    public boolean mayReport() {
+        return accepted || reached;
+    }
+
+    @Override
+    public void ended() {
+        if (over()) {
+            stopGivingUp();
+            leave();
+        }
+    }
+
+    /** The call is over though its request may be under way: its connection is freed by the 202. */
+    private void leave() {
+        if (!over && link == null) {
+            pool.withdraw(this);
+        } else if (link != null) {
+            timers.at(timers.nowMicros() + ANSWER_MICROS, () -> {
+                if (link != null) {
+                    link.abort();
+                }
+            });
+        }
+    }
+
+    @Override
+    public void giveUp(Runnable done) {
+        if (state == State.GIVING_UP || state == State.ENDED) {
+            return;
+        }
+        if (!written()) {
+            if (link == null) {
+                pool.withdraw(this);
+            } else {
+                link.abort(); // In part: without its last byte it never begins.
+            }
+            over();
+            done.run();
+            return;
+        }
+        to(State.GIVING_UP);
+        reached = true;
+        dropBy(done);
+        if (link != null) {
+            // Guards against a 202 that crosses: with it the job runs, and only the answer to the DELETE ends that.
+            timers.at(timers.nowMicros() + CROSSING_MICROS, this::closeUntaken);
+        }
+    }
+
+    private void dropBy(Runnable done) {
+        giveUp = new GiveUp(timers, pool, call, givingUp, () -> {
+            to(State.ENDED);
+            done.run();
+            if (link != null) {
+                link.abort(); // Nothing is awaited on it any more.
+            }
+        });
+        giveUp.send();
+    }
+
+    /** A close before the 202 gives up by itself. */
+    private void closeUntaken() {
+        if (link != null && state == State.GIVING_UP) {
+            boolean untaken = !link.answerBegan();
+            link.abort();
+            if (untaken) {
+                giveUp.finish();
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -17,6 +17,7 @@
     Request request;
     Timers.Timer timer;
     boolean up;
+    private boolean spoilt;
     /** When it was last left idle, and how long it had been so when it was given its request. */
     long freeMicros;
     long idleMicros;
@@ -74,7 +75,8 @@
 
     @Override
     public void bad(Connection c, BadMessage e) {
-        fail(); // For what it carried this is a break like any other.
+        spoilt = true;
+        fail();
     }
 
     @Override
@@ -93,10 +95,16 @@
             pool.brokeAfterIdle(idleMicros);
             lost.link = null;
             lost.over = true;
-            lost.broken(written ? Request.Break.AFTER_LAST_BYTE : Request.Break.NEVER_WRITTEN);
+            lost.broken(!written ? Request.Break.NEVER_WRITTEN
+                    : answerBegan() ? Request.Break.IN_ANSWER : Request.Break.AFTER_LAST_BYTE);
         }
     }
 
+    /** Some of an answer to what it carries has come, or something that is none. */
+    boolean answerBegan() {
+        return spoilt || !parser.atStart();
+    }
+
     /** Closes the connection under a request that has been given up; the request hears nothing. */
     void abort() {
         request.over = true;
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -10,7 +10,6 @@
 import postgrade.Dispatcher.Outcome;
 import postgrade.gateway.Gateway;
 import postgrade.gateway.InvokerCall;
-import postgrade.gateway.Payload;
 import postgrade.gateway.Providers;
 import postgrade.gateway.Timers;
 import postgrade.http.Message;
@@ -25,13 +24,24 @@
     /** Idle connections are retired after this part of the time after which providers close them. */
     private static final double RETIRE = 0.6;
     private static final long PROBE_MICROS = 300_000;
-    /** A call ended by its call-back leaves its connection once the 202 comes, which is due by then. */
-    private static final long ANSWER_MICROS = 1_000_000;
-    /** How long one DELETE may take, and the pause before the next. */
-    private static final long GIVE_UP_MICROS = 400_000;
-    /** A close before the 202 gives up by itself; the DELETE behind it is waited for only so long. */
-    private static final long CLOSED_MICROS = 100_000;
-    private static final long AGAIN_MICROS = 50_000;
+    /** Has ended already. */
+    private static final Handle NOT_SENT = new Handle() {
+        @Override
+        public void giveUp(Runnable done) { }
+
+        @Override
+        public void ended() { }
+
+        @Override
+        public boolean written() {
+            return false;
+        }
+
+        @Override
+        public boolean mayReport() {
+            return false;
+        }
+    };
 
     private final Reactor reactor;
     private final Timers timers;
@@ -135,9 +145,10 @@
         Pool pool = pools.get(call.providerId());
         if (pool == null || !pool.ready) {
             gateway.ended(call, Outcome.NOT_SENT);
-            return new Call(null, call, null);
+            return NOT_SENT;
         }
-        Call sent = new Call(pool, call, fences.of(call.jobClass(), call.tenant(), call.providerId()));
+        Call sent = new Call(gateway, timers, pool, call,
+                fences.of(call.jobClass(), call.tenant(), call.providerId()), count -> givingUp += count);
         pool.users++;
         pool.send(sent);
         return sent;
@@ -148,225 +159,6 @@
         return givingUp == 0;
     }
 
-    private final class Call extends Request implements Handle {
-        private final Pool pool;
-        private final InvokerCall call;
-        private final String fence;
-        private boolean accepted;
-        private boolean reached;
-        private boolean ended;
-        private boolean givenUp;
-
-        /** @param fence the claim it goes with, or null */
-        Call(Pool pool, InvokerCall call, String fence) {
-            super(call.payload().body());
-            this.pool = pool;
-            this.call = call;
-            this.fence = fence;
-        }
-
-        @Override
-        byte[] head() {
-            Payload p = call.payload();
-            return MessageWriter.request(p.method(), p.target()).header("Host", pool.host())
-                    .header("X-Request-Id", call.id()).header("X-Fence", fence)
-                    .header("X-Deadline", Math.max(1, call.untilMicros() - timers.nowMicros()) + "u")
-                    .header("Idempotency-Key", p.idempotencyKey())
-                    .header("Content-Type", p.contentType()).headFor(p.body());
-        }
-
-        @Override
-        boolean isNewWork() {
-            return true;
-        }
-
-        @Override
-        boolean isLate(long nowMicros) {
-            return nowMicros > call.writtenByMicros() || call.unwanted();
-        }
-
-        private void end(Outcome outcome) {
-            if (!ended) {
-                ended = true;
-                pool.users--;
-                gateway.ended(call, outcome);
-            }
-        }
-
-        @Override
-        void answered(Message response) {
-            boolean neverRan = "1".equals(response.header("x-not-run"));
-            switch (response.status()) {
-                case 202 -> accepted = true; // Its end comes by a call-back.
-                case 503, 504 -> end(neverRan ? Outcome.FULL : Outcome.ERROR);
-                default -> {
-                    int status = response.status();
-                    if (status / 100 == 4 && status != 408 && status != 429) {
-                        unusable();
-                    } else {
-                        end(Outcome.ERROR);
-                    }
-                }
-            }
-        }
-
-        private void unusable() {
-            if (!ended) {
-                ended = true;
-                pool.users--;
-                gateway.unusable(call);
-            }
-        }
-
-        @Override
-        void broken(Break how) {
-            reached = how == Break.AFTER_LAST_BYTE;
-            end(switch (how) {
-                case NEVER_WRITTEN -> Outcome.UNREACHABLE;
-                case DRAINED, TOO_LATE -> Outcome.NOT_SENT;
-                case AFTER_LAST_BYTE -> Outcome.RESET;
-            });
-        }
-
-        @Override
-        public boolean written() {
-            return accepted || reached || super.written();
-        }
-
-        @Override
-        public boolean mayReport() {
-            return accepted || reached;
-        }
-
-        @Override
-        public void ended() {
-            if (!ended) {
-                ended = true;
-                pool.users--;
-                leave();
-            }
-        }
-
-        /** The call is over though its request may be under way: its connection is freed by the 202. */
-        private void leave() {
-            if (!over && link == null) {
-                pool.withdraw(this);
-            } else if (link != null) {
-                timers.at(timers.nowMicros() + ANSWER_MICROS, () -> {
-                    if (link != null) {
-                        link.abort();
-                    }
-                });
-            }
-        }
-
-        @Override
-        public void giveUp(Runnable done) {
-            if (givenUp || ended) {
-                return;
-            }
-            givenUp = true;
-            ended = true;
-            boolean begun = accepted;
-            if (!over && link == null) {
-                pool.withdraw(this);
-            } else if (link != null) {
-                // Closing may cross with a 202, which would leave the job running: a DELETE follows all the same.
-                begun = super.written();
-                link.abort();
-            }
-            if (begun) {
-                reached = true;
-                GiveUp giveUp = new GiveUp(pool, call, done);
-                giveUp.send();
-                if (!accepted) {
-                    timers.at(timers.nowMicros() + CLOSED_MICROS, giveUp::finish);
-                }
-            } else {
-                pool.users--;
-                done.run();
-            }
-        }
-    }
-
-    /**
-     * DELETE of one job, again until it is answered or the call's time is over. Guards against two calls out:
-     * until it is answered the provider may still run the job, and the module is not told.
-     */
-    private final class GiveUp {
-        private final Pool pool;
-        private final InvokerCall call;
-        private final Runnable done;
-        private boolean told;
-
-        GiveUp(Pool pool, InvokerCall call, Runnable done) {
-            this.pool = pool;
-            this.call = call;
-            this.done = done;
-            givingUp++;
-        }
-
-        void send() {
-            Delete delete = new Delete();
-            timers.at(timers.nowMicros() + GIVE_UP_MICROS, () -> delete.expire(pool));
-            pool.send(delete);
-        }
-
-        private void finish() {
-            if (!told) {
-                told = true;
-                givingUp--;
-                pool.users--;
-                done.run();
-            }
-        }
-
-        private void again() {
-            if (told || timers.nowMicros() >= call.untilMicros()) {
-                finish(); // The consumer has its answer by now and nothing will be sent again.
-            } else {
-                timers.at(timers.nowMicros() + AGAIN_MICROS, this::send);
-            }
-        }
-
-        private final class Delete extends Request {
-            Delete() {
-                super(NONE);
-            }
-
-            @Override
-            byte[] head() {
-                return MessageWriter.request("DELETE", "/jobs/" + call.id()).header("Host", pool.host()).noBody();
-            }
-
-            @Override
-            boolean isNewWork() {
-                return false;
-            }
-
-            @Override
-            void answered(Message response) {
-                finish();
-            }
-
-            @Override
-            void broken(Break how) {
-                again();
-            }
-
-            void expire(Pool from) {
-                if (!over) {
-                    if (link == null) {
-                        from.withdraw(this);
-                    } else {
-                        link.abort();
-                    }
-                    again();
-                }
-            }
-        }
-    }
-
     // ---- Probes.
 
     @Override
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -8,7 +8,8 @@
 
     static final byte[] NONE = {};
 
-    enum Break { NEVER_WRITTEN, DRAINED, TOO_LATE, AFTER_LAST_BYTE }
+    /** How a request has lost its connection; {@code IN_ANSWER}: what came of an answer says nothing certain. */
+    enum Break { NEVER_WRITTEN, DRAINED, TOO_LATE, AFTER_LAST_BYTE, IN_ANSWER }
 
     private byte[] body;
     /** The link that carries it, null while it waits for one and after its end. */
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -0,0 +1,155 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+import postgrade.gateway.JobState;
+
+/** What a worker says in the moment in which an attempt is given up, or so that nobody can tell what it means. */
+public class GiveUpCrossingTest extends AttemptStage {
+
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    public GiveUpCrossingTest() throws IOException { }
+
+    private Arrived sent(String id) throws IOException {
+        open(id);
+        turn();
+        return request(one);
+    }
+
+    private void cancel(String id) {
+        script.out.cancel(id, 0);
+        turn();
+    }
+
+    private Arrived delete(Socket on) throws IOException {
+        Arrived delete = request(on);
+        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/"));
+        return delete;
+    }
+
+    private void isGivenUpBy(Arrived delete, String end) throws IOException {
+        hasHeard();
+        hand.heard(() -> delete.reply("200 OK", ""));
+        turn();
+        hasHeard(end);
+    }
+
+    /** With it the job runs: it counted as given up 100 ms on, whether or not the DELETE had arrived. */
+    @Test
+    public void afterA202ThatCrossesOnlyTheAnsweredDeleteEndsTheAttempt() throws Exception {
+        Arrived job = sent("x1");
+        cancel("x1");
+        Arrived delete = delete(accept(one));
+        says(job.socket(), TAKEN);
+        pass(200 * MILLI);
+        isGivenUpBy(delete, "finished x1 0 CANCELLED false");
+    }
+
+    @Test
+    public void soItIsAfterHalfAnAnswer() throws Exception {
+        Arrived job = sent("x2");
+        says(job.socket(), TAKEN.substring(0, 20));
+        cancel("x2");
+        Arrived delete = delete(accept(one));
+        pass(200 * MILLI);
+        isGivenUpBy(delete, "finished x2 0 CANCELLED false");
+    }
+
+    @Test
+    public void aWorkerThatSaysNothingHasItGivenUpByTheCloseAlone() throws Exception {
+        Arrived job = sent("x3");
+        cancel("x3");
+        delete(accept(one));
+        pass(99 * MILLI);
+        hasHeard();
+        pass(1 * MILLI);
+        hasHeard("finished x3 0 CANCELLED false");
+        assertEquals("closed", -1, job.socket().getInputStream().read());
+    }
+
+    @Test
+    public void aWorkerThatClosesBeforeItsAnswerHasDroppedIt() throws Exception {
+        Arrived job = sent("x4");
+        cancel("x4");
+        delete(accept(one));
+        hand.heard(() -> job.socket().close());
+        turn();
+        hasHeard("finished x4 0 CANCELLED false");
+    }
+
+    /** It counted as a reset, though it may have been a 202 for a job that runs: what followed was a second attempt. */
+    @Test
+    public void anAttemptWhoseAnswerIsSpoiltIsGivenUpBeforeTheModuleHears() throws Exception {
+        for (String spoilt : List.of("HTTP/1.1 2x2 Accepted\r\n\r\n", "HTTP/1.1 202 Accepted\r\nContent-Length: x\r\n\r\n")) {
+            script.heard.clear();
+            Arrived job = sent("s" + spoilt.length());
+            says(job.socket(), spoilt);
+            turn();
+            isGivenUpBy(delete(accept(one)), "finished s" + spoilt.length() + " 0 RESET false");
+            pools.list(true, List.of());
+            list(target("w1", one, true));
+        }
+    }
+
+    @Test
+    public void soIsOneWhoseAnswerIsCutShort() throws Exception {
+        Arrived job = sent("s1");
+        says(job.socket(), "HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf");
+        hand.heard(() -> job.socket().close());
+        turn();
+        isGivenUpBy(delete(accept(one)), "finished s1 0 RESET false");
+    }
+
+    @Test
+    public void aSpoiltAnswerOfAJobThatRunsDoesNotCostItsResult() throws Exception {
+        Arrived job = sent("s2");
+        says(job.socket(), "HTTP/1.1 2x2 Accepted\r\n\r\n");
+        turn();
+        reports("s2", "w1", JobState.STARTED);
+        reports("s2", "w1", JobState.DONE);
+        turn();
+        hasHeard("finished s2 0 SERVED true");
+        assertEquals(List.of("s2 served"), answers);
+        assertTrue("nothing is still given up", pools.quiet());
+    }
+
+    /** It was taken as given up when its own time was over, with most of its consumer's left. */
+    @Test
+    public void anAttemptWithALimitOfItsOwnIsGivenUpLikeAnyOther() throws Exception {
+        script.onJob = job -> script.out.send(job.id(), "w1", 300 * MILLI * 1000);
+        Arrived job = sent("t1");
+        says(job.socket(), TAKEN);
+        pass(300 * MILLI);
+        delete(job.socket());
+        pass(400 * MILLI);
+        pass(50 * MILLI);
+        isGivenUpBy(delete(accept(one)), "finished t1 0 TIMEOUT false");
+    }
+
+    /** The next DELETE ended the next attempt at the same worker, which nobody was told of. */
+    @Test
+    public void whatAWorkerHandsBackMeanwhileIsAskedForNoMore() throws Exception {
+        Arrived job = sent("r1");
+        says(job.socket(), TAKEN);
+        cancel("r1");
+        delete(job.socket());
+        reports("r1", "w1", JobState.RETURNED);
+        turn();
+        hasHeard("finished r1 0 FULL false");
+        script.out.send("r1", "w1", 0);
+        turn();
+        assertEquals("POST /api HTTP/1.1", request(one).head().split("\r\n")[0]);
+        pass(400 * MILLI);
+        pass(50 * MILLI);
+        open("next");
+        turn();
+        assertEquals("next", request(one).header("X-Request-Id"));
+    }
+}
