--- a/core/src/main/java/postgrade/policy/Cold.java
+++ b/core/src/main/java/postgrade/policy/Cold.java
@@ -39,8 +39,7 @@
     }
 
     private double forAll(long nowNs, Node n) {
-        double slots = n.kind.slots > 0 ? n.kind.slots : Math.min(sight.slots(n), my.ratedSlots(n));
-        return COLD_SAFETY * my.set.fallMultiple * sight.warmth(nowNs, n) * slots * my.set.fallNs;
+        return COLD_SAFETY * my.set.fallMultiple * sight.warmth(nowNs, n) * sight.slots(n) * my.set.fallNs;
     }
 
     private static double cost(Held h, Node n) {
