--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -1,5 +1,6 @@
 package postgrade.provider;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import postgrade.gateway.Timers;
 import postgrade.http.BadMessage;
@@ -10,17 +11,20 @@
 /** One connection to a provider. It carries one request at a time and never sends one again. */
 final class Link implements Connection.Owner {
     final Pool pool;
+    final InetSocketAddress to;
     final MessageParser parser = MessageParser.ofResponses();
     Connection connection;
     Request request;
     Timers.Timer timer;
     boolean up;
+    private boolean spoilt;
     /** When it was last left idle, and how long it had been so when it was given its request. */
     long freeMicros;
     long idleMicros;
 
-    Link(Pool pool) {
+    Link(Pool pool, InetSocketAddress to) {
         this.pool = pool;
+        this.to = to;
     }
 
     void carry(Request r) {
@@ -71,7 +75,8 @@
 
     @Override
     public void bad(Connection c, BadMessage e) {
-        fail(); // For what it carried this is a break like any other.
+        spoilt = true;
+        fail();
     }
 
     @Override
@@ -84,19 +89,22 @@
         boolean written = connection.allSent();
         connection.close();
         pool.dropped(this);
-        if (!up) {
-            pool.connectFailed();
-        }
         Request lost = request;
         request = null;
         if (lost != null) {
             pool.brokeAfterIdle(idleMicros);
             lost.link = null;
             lost.over = true;
-            lost.broken(written ? Request.Break.AFTER_LAST_BYTE : Request.Break.NEVER_WRITTEN);
+            lost.broken(!written ? Request.Break.NEVER_WRITTEN
+                    : answerBegan() ? Request.Break.IN_ANSWER : Request.Break.AFTER_LAST_BYTE);
         }
     }
 
+    /** Some of an answer to what it carries has come, or something that is none. */
+    boolean answerBegan() {
+        return spoilt || !parser.atStart();
+    }
+
     /** Closes the connection under a request that has been given up; the request hears nothing. */
     void abort() {
         request.over = true;
