Repeat a refused DELETE ever more seldom, the last time at the deadline

Seen by reading, then by a story on turned time: GiveUp.again sent the next DELETE 50 ms after each that failed (AGAIN_MICROS), up to the job's deadline. A worker whose process has died refuses each, so each is a new connection, and those are priced over the fleet.

Change: the pause doubles from 50 ms to at most 400 ms, and is cut at the deadline. Without the cut the last DELETE would go out up to 0.4 s behind it, and a process that is to end would wait for it.

Weighed and left out: to take a refused connection for the end of the attempt. To finish there could put a second attempt beside a running one.

Tests (GiveUpCrossingTest): the schedule up to the deadline, and a worker that refuses a DELETE and serves the job. Seen red: the first without the doubling and, in a second trial, without the cut; both with a refusal that ends the attempt. Green with the change, the other nine of the class too. No older test was changed.

--- a/daemon/src/main/java/postgrade/provider/GiveUp.java
+++ b/daemon/src/main/java/postgrade/provider/GiveUp.java
@@ -11,9 +11,14 @@
  * answered the provider may still run the job, and the module is not told.
  */
 final class GiveUp {
-    /** How long one DELETE may take, and the pause before the next. */
+    /** How long one DELETE may take. */
     private static final long ANSWER_MICROS = 400_000;
-    private static final long AGAIN_MICROS = 50_000;
+    /**
+     * The pause before the next doubles from the one to the other. Guards the provider: one whose process has ended refuses
+     * each, and each would be a new connection, up to the job's deadline.
+     */
+    private static final long FIRST_PAUSE_MICROS = 50_000;
+    private static final long LONGEST_PAUSE_MICROS = 400_000;
 
     private final Timers timers;
     private final Pool pool;
@@ -22,6 +27,7 @@
     private final Runnable done;
     private Delete delete;
     private boolean finished;
+    private long pauseMicros = FIRST_PAUSE_MICROS;
 
     /** @param underWay counts those that are under way */
     GiveUp(Timers timers, Pool pool, InvokerCall call, IntConsumer underWay, Runnable done) {
@@ -67,11 +73,17 @@
         return true;
     }
 
+    /**
+     * Also after a refusal, which is no word on the job: a provider may keep no more connections, or have ended its listener
+     * and still complete what it runs. That the process has died is told by its machine's call-back.
+     */
     private void again() {
         if (timers.nowMicros() >= call.deadlineMicros()) {
             finish(); // The consumer has its answer by now and nothing will be sent again.
         } else {
-            timers.at(timers.nowMicros() + AGAIN_MICROS, this::send);
+            // The last one goes out at the deadline: a longer pause would keep a process that is to end waiting for it.
+            timers.at(Math.min(timers.nowMicros() + pauseMicros, call.deadlineMicros()), this::send);
+            pauseMicros = Math.min(2 * pauseMicros, LONGEST_PAUSE_MICROS);
         }
     }
 
--- a/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -152,4 +152,57 @@
         turn();
         assertEquals("next", request(one).header("X-Request-Id"));
     }
+
+    /** The worker has the job and refuses new connections from now on. */
+    private void runsButRefuses(String id) throws IOException {
+        Arrived job = sent(id);
+        says(job.socket(), TAKEN);
+        one.close();
+        hand.heard(job.socket()::close);
+        cancel(id);
+        isRefused();
+    }
+
+    private void isRefused() throws IOException {
+        assertEquals("a DELETE asks for a connection", 1, hand.open());
+        hand.heard(() -> { });
+        assertEquals(0, hand.open());
+    }
+
+    /** Each was a new connection, 20 a second up to the deadline. */
+    @Test
+    public void aDeleteThatIsRefusedIsRepeatedEverMoreSeldomAndNoLaterThanTheDeadline() throws Exception {
+        runsButRefuses("b1");
+        long since = 0;
+        for (long pause : new long[] {50, 100, 200, 400, 400}) {
+            pass(pause * MILLI - 1);
+            assertEquals("not before " + pause + " ms", 0, hand.open());
+            pass(1);
+            isRefused();
+            since += pause * MILLI;
+        }
+        for (; since + 400 * MILLI < DEADLINE; since += 400 * MILLI) {
+            pass(400 * MILLI);
+            isRefused();
+        }
+        assertTrue("the module hears at the deadline", ends().isEmpty() && !pools.quiet());
+        pass(DEADLINE - since);
+        isRefused();
+        turn();
+        assertTrue("that was the last", pools.quiet());
+        hasHeard("finished b1 0 TIMEOUT false");
+    }
+
+    /** One that drains may end its listener, and one that has all the connections it keeps refuses more: neither has dropped it. */
+    @Test
+    public void aWorkerThatRefusesADeleteMayRunTheJobOn() throws Exception {
+        runsButRefuses("b2");
+        turn();
+        hasHeard();
+        reports("b2", "w1", JobState.DONE);
+        turn();
+        hasHeard("finished b2 0 SERVED true");
+        assertEquals(List.of("b2 served"), answers);
+        assertTrue("nothing is still given up", pools.quiet());
+    }
 }
