Lend a buffer for looks out of turn instead of making one each time

Seen by reading: Connection.look made a buffer of 8 KiB, and stillOpen one of a byte, each time. A look comes before each send and each close, so both are paid for with every request.

Ruled out: reading into the loop's own buffer, which may hold what is being taken at that moment, and one more buffer for all looks, as looks nest: one tells an owner of an end, whose job is withdrawn, and another connection is looked at before the first look is over.

Who does not say otherwise makes a new one each time, as before (the operators' listener). stillOpen reads with the same buffer.

Its new story, six looks within each other, twice, fails where a buffer that was given back is lent to two, and where looks use the loop's buffer. The processor time saved has not been measured.

--- a/daemon/src/main/java/postgrade/daemon/Loop.java
+++ b/daemon/src/main/java/postgrade/daemon/Loop.java
@@ -14,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import postgrade.gateway.Timers;
+import postgrade.http.LookBuffers;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
 import postgrade.log.Events;
@@ -38,6 +39,7 @@
     private final Selector selector;
     private final SocketBudget sockets;
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+    private final LookBuffers looks = new LookBuffers();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Clock clock;
     private long nowMicros;
@@ -165,6 +167,16 @@
         return readBuffer;
     }
 
+    @Override
+    public ByteBuffer lend() {
+        return looks.lend();
+    }
+
+    @Override
+    public void giveBack(ByteBuffer lent) {
+        looks.giveBack(lent);
+    }
+
     @Override
     public SocketBudget sockets() {
         return sockets;
--- a/daemon/src/main/java/postgrade/http/Connection.java
+++ b/daemon/src/main/java/postgrade/http/Connection.java
@@ -11,8 +11,7 @@
 /** One TCP connection on the loop. Its owner hears what comes in and when it ends; writes are kept until sent. */
 public final class Connection implements Reactor.Handler {
 
-    /** So much is read at once out of turn, and so often at most: an end may lie behind all that a peer may send ahead. */
-    private static final int LOOK_BYTES = 8 << 10;
+    /** So often at most a look reads on: an end may lie behind all that a peer may send ahead. */
     private static final int MOST_LOOKS = 32;
 
     /** Who owns the connection. */
@@ -113,14 +112,10 @@
             flush();
         }
         if (!closed && ready.isReadable()) {
-            read();
+            read(reactor.readBuffer());
         }
     }
 
-    private void read() throws IOException {
-        read(reactor.readBuffer());
-    }
-
     /** False if nothing is left to read. */
     private boolean read(ByteBuffer in) throws IOException {
         in.clear();
@@ -148,13 +143,15 @@
         if (closed || connecting) {
             return;
         }
-        ByteBuffer own = ByteBuffer.allocate(LOOK_BYTES); // The loop's buffer may be in use.
+        ByteBuffer own = reactor.lend(); // The loop's buffer may be in use.
         try {
             for (int i = 0; i < MOST_LOOKS && read(own); i++) {
                 // What has been read is the owner's.
             }
         } catch (IOException | RuntimeException e) {
             failed(e);
+        } finally {
+            reactor.giveBack(own);
         }
     }
 
@@ -163,10 +160,13 @@
         if (closed) {
             return false;
         }
+        ByteBuffer own = reactor.lend(); // The loop's buffer may be in use.
         try {
-            return channel.read(ByteBuffer.allocate(1)) == 0; // The loop's buffer may be in use.
+            return channel.read(own) == 0;
         } catch (IOException e) {
             return false;
+        } finally {
+            reactor.giveBack(own);
         }
     }
 
--- a/daemon/src/main/java/postgrade/http/Reactor.java
+++ b/daemon/src/main/java/postgrade/http/Reactor.java
@@ -13,6 +13,16 @@
     /** One buffer for all reads; what is in it must be taken before the handler returns. */
     ByteBuffer readBuffer();
 
+    /**
+     * Lends a buffer, empty, for a look out of turn. Looks may nest (one tells an owner of an end, who has another connection
+     * looked at), so each has its own until {@link #giveBack}. Who seldom looks may leave it at a new one each time.
+     */
+    default ByteBuffer lend() {
+        return LookBuffers.another();
+    }
+
+    default void giveBack(ByteBuffer lent) { }
+
     SocketBudget sockets();
 
     /** Whose channel is ready. */
--- a/daemon/src/test/java/postgrade/http/ConnectionTest.java
+++ b/daemon/src/test/java/postgrade/http/ConnectionTest.java
@@ -15,6 +15,9 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Set;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -25,6 +28,8 @@
     private final SocketBudget sockets = new SocketBudget(10);
     private final ByteBuffer inUse = ByteBuffer.allocate(16);
     private final StringBuilder heard = new StringBuilder();
+    private final LookBuffers looks = new LookBuffers();
+    private ByteBuffer last;
     private Selector selector;
     private ServerSocketChannel server;
     private SocketChannel peer;
@@ -102,11 +107,64 @@
         assertFalse(connection.isOpen());
     }
 
+    /** A look tells an owner of bytes, who has another connection looked at before they are taken. */
+    @Test
+    public void looksWithinLooksSpoilNeitherEachOthersBytesNorTheLoops() throws IOException {
+        Set<ByteBuffer> buffers = Collections.newSetFromMap(new IdentityHashMap<>());
+        StringBuilder inner = new StringBuilder();
+        Connection[] chain = new Connection[6]; // Deeper than buffers are kept for.
+        SocketChannel[] peers = new SocketChannel[chain.length];
+        for (int i = 0; i < chain.length; i++) {
+            int next = i + 1;
+            peers[i] = SocketChannel.open(server.getLocalAddress());
+            sockets.takeToAccept(true);
+            chain[i] = Connection.accepted(this, server.accept(), new Connection.Owner() {
+                @Override
+                public void received(Connection c, ByteBuffer bytes) {
+                    buffers.add(bytes);
+                    if (next < chain.length) {
+                        chain[next].look();
+                        assertTrue(chain[next].stillOpen());
+                    }
+                    inner.append(StandardCharsets.ISO_8859_1.decode(bytes)).append(' ');
+                }
+
+                @Override
+                public void bad(Connection c, BadMessage e) {
+                    throw new AssertionError(e);
+                }
+
+                @Override
+                public void closed(Connection c) {
+                    inner.append("closed ");
+                }
+            });
+        }
+        for (int round = 0; round < 2; round++) { // By new buffers, then by those given back.
+            for (int i = 0; i < chain.length; i++) {
+                peers[i].write(ByteBuffer.wrap(("of " + i).getBytes(StandardCharsets.ISO_8859_1)));
+            }
+            buffers.clear();
+            inner.setLength(0);
+            chain[0].look();
+            assertEquals("of 5 of 4 of 3 of 2 of 1 of 0 ", inner.toString());
+            assertEquals("each had its own", chain.length, buffers.size());
+        }
+        send("one look after another");
+        connection.look();
+        assertEquals("one look after another", heard.toString());
+        assertTrue("has a buffer that was used before", buffers.contains(last));
+        for (SocketChannel p : peers) {
+            p.close();
+        }
+    }
+
     // ---- The connection's owner.
 
     @Override
     public void received(Connection c, ByteBuffer bytes) {
         c.idle(false, false);
+        last = bytes;
         heard.append(StandardCharsets.ISO_8859_1.decode(bytes));
     }
 
@@ -137,6 +195,16 @@
         return inUse;
     }
 
+    @Override
+    public ByteBuffer lend() {
+        return looks.lend();
+    }
+
+    @Override
+    public void giveBack(ByteBuffer lent) {
+        looks.giveBack(lent);
+    }
+
     @Override
     public SocketBudget sockets() {
         return sockets;
