Answer 400 to a client that sends too much ahead, instead of resetting its connection

Seen by reading: ConsumerConnection.received closed the connection at once where more than 128 KiB had come behind a request that still waits. The close came over unread bytes, so the connection was reset: no answer to the request that waits, and none to the client's bad input.

Ruled out: holding it back by not reading on, as the end of a client that leaves lies behind those bytes.

Change: it is answered as other input that makes no sense is. The job that waits is given up, the answer is 400, our side ends, and what still comes is passed over. Its last answers are not lost with a reset.

--- a/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
+++ b/daemon/src/main/java/postgrade/consumer/ConsumerConnection.java
@@ -81,9 +81,8 @@
         pieces++;
         if (ahead.hasRemaining()) {
             if (ahead.remaining() + bytes.remaining() > MOST_AHEAD) {
-                connection.close();
-                closed(c);
-                return;
+                // Guards the one answer: a close over unread bytes would reset the connection, and the client hear nothing.
+                throw new BadMessage(400, "more sent ahead of its answer than is kept");
             }
             bytes = ByteBuffer.allocate(ahead.remaining() + bytes.remaining()).put(ahead).put(bytes).flip();
         }
--- a/daemon/src/test/java/postgrade/daemon/Turns.java
+++ b/daemon/src/test/java/postgrade/daemon/Turns.java
@@ -64,7 +64,8 @@
         thread.start();
     }
 
-    private static final class Alone implements Relay {
+    /** No other process of this dispatcher runs. */
+    static final class Alone implements Relay {
         @Override
         public boolean any() {
             return false;
