Test that a flood that sends as much as is kept, and goes, leaves nothing behind

Nothing is changed in the program: what was asked is whether floods that send much and go take memory or places from others.

384 clients hold 24 MiB, one more is refused with 429 and ended, not reset; a small job and its call-back are served; then all of the flood go in one turn, half of them with a reset, each behind 32 KiB more. A large job is taken again, and no attempt was made for any of the flood.

It fails where a connection that has closed keeps its part of the bytes held ("job large" is never heard), and where a body that has come in part is not counted (408 instead of 429).

--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/FloodTest.java
@@ -0,0 +1,83 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** Clients that send as much as is kept, and go: others' jobs and call-backs are served meanwhile, and nothing of it stays. */
+public class FloodTest extends Stage {
+
+    private static final int BODY = 65_536;
+    private static final int FILLS = (24 << 20) / BODY;
+    private static final String LARGE = "POST /api HTTP/1.1\r\nX-Class: price\r\nContent-Length: " + BODY + "\r\nX-Request-Id: ";
+
+    private Turns turns;
+
+    @Before
+    public void turn() throws Exception {
+        turns = new Turns(Config.read(configuration()), 1024);
+        turns.provider("w1", one);
+        turns.script.onJob = job -> {
+            if (job.id().startsWith("usual")) {
+                turns.script.out.send(job.id(), "w1", 0);
+            }
+        };
+    }
+
+    @After
+    public void close() throws IOException {
+        turns.close();
+    }
+
+    @Override
+    Socket connect() throws IOException {
+        return turns.connect();
+    }
+
+    private void usualIsServed(String id) throws Exception {
+        Socket client = turns.post(id);
+        one.next("POST").accept();
+        assertEquals(204, callBack(id, "w1", "done"));
+        assertEquals(200, Peer.read(client).status());
+    }
+
+    @Test
+    public void whatIsKeptForThemHasABoundAndIsFreeOnceTheyHaveGone() throws Exception {
+        List<Socket> flood = new ArrayList<>();
+        for (int i = 0; i < FILLS; i++) {
+            flood.add(turns.connect());
+            Peer.write(flood.get(i), LARGE + "flood" + i + "\r\n\r\n" + "x".repeat(BODY));
+            turns.script.hears("job flood" + i);
+        }
+        Socket over = turns.connect();
+        Peer.write(over, LARGE + "over\r\n\r\n" + "x".repeat(BODY - 1)); // Not whole, and never to be.
+        Arrived answer = Peer.read(over);
+        assertEquals(429, answer.status());
+        assertEquals("ended, not reset", -1, over.getInputStream().read());
+        usualIsServed("usual0");
+        turns.crossing(0, () -> {
+            for (int i = 0; i < flood.size(); i++) {
+                Socket s = flood.get(i);
+                Peer.write(s, LARGE + "more" + i + "\r\n\r\n" + "x".repeat(BODY / 2));
+                if (i % 2 == 0) {
+                    s.setSoLinger(true, 0); // With a reset.
+                }
+                s.close();
+            }
+        }, () -> { });
+        usualIsServed("usual1");
+        turns.script.heard.clear();
+        Socket large = turns.connect();
+        Peer.write(large, LARGE + "large\r\n\r\n" + "x".repeat(BODY));
+        turns.script.hearsAmongOthers("job large");
+        assertTrue("of the flood nothing was sent on", one.nothingArrived());
+    }
+}
