Test the crossing of a hand-over with requests under way, and of a reload with a drain

Nothing is changed in the program.

HandOverTest: a process that holds a job sent on, a request read in half and one in its backlog is told to end while a successor, by script, serves. The loop is held in its module until the stop has been asked for. Each of the four jobs gets its one answer, by call-backs that the successor passes on, and the connection's end. It fails where the listener is closed without accepting what waits ("nothing arrived").

ReloadTest: new settings come while a worker drains and an attempt waits for a connection that comes up late. The drained worker gets nothing, what it has is served, and the attempt is written and served though its class is gone. It fails where the pool of a worker that drains takes new work.

--- a/daemon/src/test/java/postgrade/daemon/HandOverTest.java
+++ b/daemon/src/test/java/postgrade/daemon/HandOverTest.java
@@ -5,21 +5,27 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.Ability;
 import postgrade.Dispatcher.Learnt;
 import postgrade.companion.Companion;
+import postgrade.daemon.Peer.Arrived;
 import postgrade.operator.Further;
 
 /** What goes from the old process of a dispatcher to the new one, and what does not where either fails early. */
@@ -159,6 +165,69 @@
         ended(stopping(daemon));
     }
 
+    /** Told to end by one that has come to serve, while the loop is held: some wait to be accepted, a request is half read. */
+    @Test
+    public void whatIsUnderWayOrInTheBacklogWhenTheListenerPassesIsServedHere() throws Exception {
+        daemon = new Daemon(Config.read(environment), null, out -> script = new Script(out), PATIENCE);
+        daemon.start();
+        Config c = Config.read(environment);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        script.onJob = job -> {
+            script.out.send(job.id(), "w1", 0);
+            if (job.id().equals("holds")) {
+                held.countDown();
+                hold(goesOn);
+            }
+        };
+        try (SocketChannel successor = SocketChannel.open(UnixDomainSocketAddress.of(link()))) {
+            tells(successor, "{\"hello\":1,\"id\":\"x\",\"dispatcher\":\"" + c.name + " " + c.listen + "\"}\n{\"serving\":true}\n");
+            script.hearsAmongOthers("share 0.5");
+            Map<String, Socket> clients = new HashMap<>();
+            clients.put("sent", post("sent", "price", "15000m"));
+            Arrived sent = one.next("POST");
+            Socket half = connect();
+            clients.put("half", half);
+            Peer.write(half, "POST /api HTTP/1.1\r\nX-Request-Id: half\r\nX-Class: price\r\nContent-Length: 3\r\n\r\n");
+            clients.put("holds", post("holds", "price", "15000m"));
+            assertTrue(held.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+            clients.put("backlog", post("backlog", "price", "15000m"));
+            Thread stop = stopping(daemon);
+            while (stop.getState() != Thread.State.WAITING) { // For the loop, which has been told by then.
+                Thread.onSpinWait();
+            }
+            goesOn.countDown();
+            Peer.write(half, "job");
+            for (int i = 0; i < clients.size(); i++) {
+                Arrived job = i == 0 ? sent : one.next("POST");
+                job.accept();
+                String id = job.header("X-Request-Id");
+                // The workers' call-backs come to the successor, which passes them on.
+                tells(successor, "{\"ask\":1,\"event\":\"{\\\"id\\\":\\\"" + id
+                        + "\\\",\\\"from\\\":\\\"w1\\\",\\\"state\\\":\\\"done\\\"}\"}\n");
+                Socket client = clients.get(id);
+                Arrived answer = Peer.read(client);
+                assertEquals(id, 200, answer.status());
+                assertEquals("close", answer.header("Connection"));
+                assertEquals(-1, client.getInputStream().read());
+                client.close();
+            }
+            ended(stop);
+        }
+    }
+
+    private static void hold(CountDownLatch until) {
+        try {
+            assertTrue(until.await(Peer.PATIENCE_S, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void tells(SocketChannel link, String lines) throws IOException {
+        link.write(ByteBuffer.wrap(lines.getBytes(StandardCharsets.UTF_8)));
+    }
+
     private long links() throws IOException {
         try (var files = Files.list(shared)) {
             return files.filter(f -> f.toString().endsWith(".link")).count();
--- a/daemon/src/test/java/postgrade/daemon/ReloadTest.java
+++ b/daemon/src/test/java/postgrade/daemon/ReloadTest.java
@@ -4,6 +4,8 @@
 import static org.junit.Assert.assertTrue;
 import static org.junit.Assert.fail;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -89,4 +91,50 @@
         callBack("r3", "w1", "done");
         assertEquals(200, Peer.read(fresh).status());
     }
+
+    /** What a worker that drains has goes on and it gets no more; what waits for a connection keeps its class and its time. */
+    @Test
+    public void aReloadWhileAWorkerDrainsAndAnAttemptWaitsChangesNeither() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            deaf.setSoTimeout(Peer.PATIENCE_S * 1000);
+            for (int i = 0; i < 2; i++) {
+                sockets.add(new Socket(deaf.getInetAddress(), deaf.getLocalPort())); // A full backlog.
+            }
+            Map<String, String> environment = configuration(server("w1", one.address(), "ready"),
+                    server("late", "127.0.0.1:" + deaf.getLocalPort(), "ready"));
+            file = Path.of(environment.get("ROUTER_CONFIG"));
+            daemon = new Daemon(Config.read(environment), null, out -> script = new Script(out),
+                    new Patience(20_000_000, 20_000_000, 0));
+            daemon.start();
+            script.onJob = job -> script.out.send(job.id(), job.id().startsWith("late") ? "late" : "w1", 0);
+            Socket held = post("held", "price", "15000m");
+            one.next("POST").accept();
+            Socket waits = post("late1", "price", "15000m");
+            script.hearsAmongOthers("job late1");
+            watched(json(42, false, server("w1", one.address(), "draining")));
+            script.hears("list CHANGES [w1 DRAINING]");
+            Files.writeString(file, Files.readString(file).replace("\"price\"", "\"quote\"")
+                    .replace("\"connIdleNs\":" + idleNs, "\"connIdleNs\":1000000000"));
+            daemon.reload();
+            script.hears("settings [quote, confirm]");
+            script.onFinished = (id, outcome) -> script.out.refuse(id, 0);
+            Socket next = post("next", "quote", "15000m");
+            script.hears("job next");
+            script.hears("finished next 0 NOT_SENT false");
+            assertEquals("its worker drains", 429, Peer.read(next).status());
+            for (int i = 0; i < 3; i++) {
+                sockets.add(deaf.accept()); // The third is ours: it comes up with the system's next try.
+            }
+            Peer.Arrived job = Peer.read(sockets.get(sockets.size() - 1));
+            assertEquals("late1", job.header("X-Request-Id"));
+            job.accept();
+            for (String[] done : new String[][] {{"late1", "late"}, {"held", "w1"}}) {
+                assertEquals(204, callBack(done[0], done[1], "done"));
+                Peer.Arrived answer = Peer.read(done[0].equals("held") ? held : waits);
+                assertEquals(200, answer.status());
+                assertEquals("made by " + done[1], answer.body());
+            }
+            assertTrue("nothing more came to the one that drains", one.nothingArrived());
+        }
+    }
 }
