Give an attempt up on the wire when its answer is none that the protocol knows

Seen by reading, then by stories: Call.answered ended a call as ERROR on any status that it did not know, and the module could send the job again at once. Nothing says that an attempt with another answer has ended: the job may run, or may yet, and a second attempt would be beside the first (`duplicate`).

Ruled out: an interim answer (1xx) is never read as final; MessageParser passes over it, and the real one decides.

Change: 2xx but 202, 3xx, 408, 429, 5xx but 500, 503 and 504, and 600 on are spoilt answers like those cut off: given up by DELETE before the module hears ERROR (Call.spoilt). One that comes while the call is being given up leaves that to the DELETE; it ended the call at once too.

Tests (GiveUpCrossingTest): ten such statuses, one while giving up, and an interim answer. No older test was changed.

--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -124,15 +124,15 @@
         if (status == 202) {
             accepted = true; // Its end comes by a call-back, or by the answer to a DELETE under way.
             to(State.TAKEN);
-        } else if (status == 503 || status == 504) {
-            end(neverRan ? Outcome.FULL : Outcome.ERROR);
+        } else if (status == 500 || status == 503 || status == 504) {
+            end(neverRan && status != 500 ? Outcome.FULL : Outcome.ERROR);
         } else if (status / 100 == 4 && status != 408 && status != 429) {
             if (over()) {
                 gateway.unusable(call);
                 stopGivingUp();
             }
         } else {
-            end(Outcome.ERROR);
+            spoilt(Outcome.ERROR); // No answer that the protocol knows: the job may run, or may yet.
         }
     }
 
@@ -149,14 +149,19 @@
                     end(Outcome.RESET);
                 }
             }
-            case IN_ANSWER -> {
-                reached = true;
-                // Guards against a second call beside one that runs: what came may have been a 202, after which a broken
-                // connection ends nothing.
-                if (to(State.GIVING_UP)) {
-                    dropBy(() -> gateway.ended(call, Outcome.RESET));
-                }
-            }
+            // What came may have been a 202, after which a broken connection ends nothing.
+            case IN_ANSWER -> spoilt(Outcome.RESET);
+        }
+    }
+
+    /**
+     * What came as its answer does not tell whether the provider has taken it. Guards against a second call beside one that
+     * runs: it is given up on the wire before the module hears. One that is being given up goes on with that.
+     */
+    private void spoilt(Outcome as) {
+        reached = true;
+        if (to(State.GIVING_UP)) {
+            dropBy(() -> gateway.ended(call, as));
         }
     }
 
--- a/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -120,6 +120,44 @@
         assertTrue("nothing is still given up", pools.quiet());
     }
 
+    /** It counted as an error at once, though the job may run, or may yet: what followed was a second attempt. */
+    @Test
+    public void anAttemptWhoseAnswerTheProtocolDoesNotKnowIsGivenUpBeforeTheModuleHears() throws Exception {
+        for (int status : new int[] {200, 204, 302, 304, 408, 429, 501, 502, 599, 600}) {
+            script.heard.clear();
+            Arrived job = sent("u" + status);
+            says(job.socket(), "HTTP/1.1 " + status + " Unknown\r\nContent-Length: 0\r\n\r\n");
+            turn();
+            hasHeard();
+            pass(20 * MILLI);
+            isGivenUpBy(delete(job.socket()), "finished u" + status + " 0 ERROR false");
+            pools.list(true, List.of());
+            list(target("w1", one, true));
+        }
+    }
+
+    @Test
+    public void suchAnAnswerWhileItIsGivenUpLeavesThatToTheDelete() throws Exception {
+        Arrived job = sent("v1");
+        cancel("v1");
+        Arrived delete = delete(accept(one));
+        says(job.socket(), "HTTP/1.1 502 Unknown\r\nContent-Length: 0\r\n\r\n");
+        turn();
+        isGivenUpBy(delete, "finished v1 0 CANCELLED false");
+    }
+
+    /** It is none: the real one follows, and decides. */
+    @Test
+    public void anInterimAnswerIsPassedOver() throws Exception {
+        Arrived job = sent("w1");
+        says(job.socket(), "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n");
+        turn();
+        hasHeard();
+        says(job.socket(), "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        turn();
+        hasHeard("finished w1 0 FULL false");
+    }
+
     /** It was taken as given up when its own time was over, with most of its consumer's left. */
     @Test
     public void anAttemptWithALimitOfItsOwnIsGivenUpLikeAnyOther() throws Exception {
