Test that SIGTERM at each stage of a job leaves it exactly one answer

Nothing is changed in the program. SIGTERM meets a job that is queued without an attempt, that waits for a connection which comes up late, that was sent and not taken (no 202), that has started, that has come in half, and one whose answer the client has not read: some 2 MiB of answers lie in the system, the last bytes still with us, and it reads them only once SIGKILL may come. The job goes on once resting connections are ended, the loop having been held until then; its client gets one answer and the end, and the process ends. A worker's repeated report adds nothing. What the stories of ShutdownCrossingTest set up stands in ShutdownStage now, which both use.

Guards off: - a connection whose request waits counts as resting (ConsumerConnection.busy): queued, waiting for a connection, sent and started fail, the client reads the end instead of its answer; - one with a request in part counts as resting: the half request fails likewise; - Ending.checked does not ask whether all has been written: the client that reads late fails, as the process ends.

--- a/daemon/src/test/java/postgrade/daemon/ShutdownCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/ShutdownCrossingTest.java
@@ -3,62 +3,13 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
-import postgrade.daemon.Peer.Arrived;
 
 /** What comes in the very moment in which connections are closed or the process ends. */
-public class ShutdownCrossingTest extends Stage {
-
-    /** SIGKILL comes 1.5 s after SIGTERM at the earliest, resting connections are closed from 0.5 s on. */
-    private static final long DEADLINE_NS = 800_000_000L;
-    private static final long UNTIL_LEAVING_MILLIS = 600;
-    private static final long KILL_MILLIS = 1_500;
-    /** Longer than two sweeps and checks. */
-    private static final long SWEEPS_MILLIS = 120;
-
-    private Turns turns;
-
-    @Before
-    public void turn() throws Exception {
-        Path file = Path.of(configuration().get("ROUTER_CONFIG"));
-        Files.writeString(file, Files.readString(file).replace("20000000000", "" + DEADLINE_NS));
-        turns = new Turns(Config.read(Map.of("ROUTER_CONFIG", file.toString())), 64);
-        turns.script.onJob = job -> turns.script.out.refuse(job.id(), 0);
-    }
-
-    @After
-    public void close() throws IOException {
-        turns.close();
-    }
-
-    private Socket resting(String id) throws Exception {
-        Socket s = turns.post(id);
-        turns.script.hears("job " + id);
-        assertEquals(429, Peer.read(s).status());
-        return s;
-    }
-
-    /** SIGTERM, with the loop held until connections are to be closed. */
-    private void stop(Turns.Io whileHeld, Turns.Io afterSelect) throws Exception {
-        turns.on(turns.ending::begin);
-        turns.crossing(UNTIL_LEAVING_MILLIS, whileHeld, afterSelect);
-    }
-
-    private static void rejectedAndEnded(Socket s) throws IOException {
-        Arrived answer = Peer.read(s);
-        assertEquals(429, answer.status());
-        assertEquals("close", answer.header("Connection"));
-        assertEquals(-1, s.getInputStream().read());
-    }
+public class ShutdownCrossingTest extends ShutdownStage {
 
     @Test
     public void aRequestOnARestingConnectionInTheMomentItIsClosedIsServed() throws Exception {
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/ShutdownStagesTest.java
@@ -0,0 +1,133 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+
+/** SIGTERM meets a job at a stage of its life, and it goes on once resting connections are ended: it gets its one answer. */
+public class ShutdownStagesTest extends ShutdownStage {
+
+    private Socket sentOn(String id) throws Exception {
+        turns.provider("w1", one);
+        turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+        Socket client = turns.post(id);
+        turns.script.hears("job " + id);
+        return client;
+    }
+
+    /** The worker reports it done, also once more, and the client hears of it once. */
+    private void answeredOnce(Socket client, String id) throws Exception {
+        assertEquals(204, callBack(id, "w1", "done"));
+        assertEquals("late", 204, callBack(id, "w1", "done"));
+        Arrived answer = Peer.read(client);
+        assertEquals(200, answer.status());
+        assertEquals("made by w1", answer.body());
+        assertEquals("close", answer.header("Connection"));
+        assertEquals("one answer", -1, client.getInputStream().read());
+        client.close();
+        turns.ends();
+    }
+
+    @Test
+    public void aJobThatIsQueuedWithoutAnAttemptIsSentAndAnswered() throws Exception {
+        turns.provider("w1", one);
+        turns.script.onJob = job -> { };
+        Socket client = turns.post("q1");
+        turns.script.hears("job q1");
+        stop(() -> { }, () -> { });
+        turns.on(() -> turns.script.out.send("q1", "w1", 0));
+        one.next("POST").accept();
+        answeredOnce(client, "q1");
+    }
+
+    @Test
+    public void aJobThatWaitsForItsConnectionIsSentOnItAndAnswered() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            deaf.setSoTimeout(Peer.PATIENCE_S * 1000);
+            for (int i = 0; i < 2; i++) {
+                sockets.add(new Socket(deaf.getInetAddress(), deaf.getLocalPort())); // A full backlog.
+            }
+            turns.provider("w1", deaf.getInetAddress().getHostAddress(), deaf.getLocalPort());
+            turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+            Socket client = turns.post("c1");
+            turns.script.hears("job c1");
+            stop(() -> { }, () -> { });
+            for (int i = 0; i < 3; i++) {
+                sockets.add(deaf.accept()); // The third is ours: it comes up with the system's next try.
+            }
+            Arrived job = Peer.read(sockets.get(sockets.size() - 1));
+            assertEquals("c1", job.header("X-Request-Id"));
+            job.accept();
+            answeredOnce(client, "c1");
+        }
+    }
+
+    @Test
+    public void aJobThatHasBeenSentAndNotTakenYetIsAnswered() throws Exception {
+        Socket client = sentOn("n1");
+        Arrived job = one.next("POST");
+        stop(() -> { }, () -> { });
+        job.accept();
+        answeredOnce(client, "n1");
+    }
+
+    @Test
+    public void aJobThatHasStartedIsAnswered() throws Exception {
+        Socket client = sentOn("s1");
+        one.next("POST").accept();
+        assertEquals(204, callBack("s1", "w1", "started"));
+        turns.script.hears("started s1 0");
+        stop(() -> { }, () -> { });
+        answeredOnce(client, "s1");
+    }
+
+    @Test
+    public void aRequestInPartIsNotTakenForARestingConnection() throws Exception {
+        Socket half = turns.connect();
+        Peer.write(half, "POST /api HTTP/1.1\r\nX-Request-Id: f1\r\nX-Class: price\r\nContent-Length: 3\r\n\r\n");
+        turns.turn();
+        stop(() -> { }, () -> { });
+        Peer.write(half, "job");
+        rejectedAndEnded(half);
+        half.close();
+        turns.ends();
+    }
+
+    /** Answers fill what the system holds for a client that does not read: the last ones are still with us. */
+    @Test
+    public void whatAClientReadsLateIsWrittenToTheLastByte() throws Exception {
+        turns.provider("w1", one);
+        turns.script.onJob = job -> turns.script.out.send(job.id(), "w1", 0);
+        String result = "x".repeat(60_000);
+        Socket late = new Socket();
+        late.setReceiveBufferSize(4096);
+        late.setSoTimeout(Peer.PATIENCE_S * 1000);
+        late.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), turns.listener.port()));
+        sockets.add(late);
+        boolean[] allSent = {true};
+        int answers = 0;
+        for (; allSent[0]; answers++) {
+            Turns.post(late, "l" + answers);
+            one.next("POST").accept();
+            assertEquals(204, callBack("{\"id\":\"l" + answers + "\",\"from\":\"w1\",\"state\":\"done\",\"result\":\""
+                    + result + "\"}"));
+            turns.on(() -> allSent[0] = turns.listener.quiet());
+        }
+        turns.on(turns.ending::begin);
+        turns.crossing(KILL_MILLIS, () -> { }, () -> { });
+        turns.crossing(SWEEPS_MILLIS, () -> { }, () -> { }); // Its peers are waited for no longer, but for what they are owed.
+        for (int i = 0; i < answers; i++) {
+            Arrived answer = Peer.read(late);
+            assertEquals(200, answer.status());
+            assertEquals(result, answer.body());
+        }
+        assertEquals("ended, not reset", -1, late.getInputStream().read());
+        late.close();
+        turns.ends();
+    }
+}
