See each story of the hand-over's link fail with its guard off, and end when it does

Seen: HelloTest and LinkCrossingTest had never been cleanly seen red; without the mend LinkCrossingTest did not end. Cause: it waits in accept for a link of a process whose start has failed by then, and HelloTest reads without end from a link that is not let go.

Change: a start that fails closes the scripted listener, and the story tells why it failed; HelloTest has 30 s. No check is changed.

--- a/daemon/src/test/java/postgrade/daemon/LinkCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LinkCrossingTest.java
@@ -9,6 +9,7 @@
 import java.net.StandardSocketOptions;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -59,17 +60,29 @@
         serves.close();
     }
 
+    /** One that fails says so at once: whoever waits for its link would wait in vain. */
     private Future<Daemon> starting() {
         return starts.submit(() -> {
-            Daemon d = new Daemon(Config.read(environment));
-            d.start();
-            return d;
+            try {
+                Daemon d = new Daemon(Config.read(environment));
+                d.start();
+                return d;
+            } catch (Exception e) {
+                links.close();
+                throw e;
+            }
         });
     }
 
     /** A new process has connected and said who it is. */
-    private SocketChannel greeted() throws IOException {
-        SocketChannel c = links.accept();
+    private SocketChannel greeted(Future<Daemon> by) throws Exception {
+        SocketChannel c;
+        try {
+            c = links.accept();
+        } catch (ClosedChannelException e) {
+            by.get(); // Its start has failed, and this says why.
+            throw e;
+        }
         String hello = line(c);
         assertTrue(hello, hello.contains("\"hello\":1"));
         return c;
@@ -100,9 +113,9 @@
     @Test
     public void aLinkThatBreaksBeforeItHasToldIsMadeAgain() throws Exception {
         Future<Daemon> start = starting();
-        greeted().close();
-        greeted().close();
-        try (SocketChannel third = greeted()) {
+        greeted(start).close();
+        greeted(start).close();
+        try (SocketChannel third = greeted(start)) {
             tells(third);
             started(start);
             assertTrue(line(third).contains("\"serving\":true"));
@@ -116,7 +129,7 @@
     @Test
     public void oneThatIsSilentForTheWholeTimeIsStillCounted() throws Exception {
         Future<Daemon> start = starting();
-        try (SocketChannel silent = greeted()) {
+        try (SocketChannel silent = greeted(start)) {
             started(start);
             assertTrue(line(silent).contains("\"serving\":true"));
             assertEquals(200, call(daemon, "PUT /maintenance/enter", "{\"id\":\"w1\"}").status());
@@ -129,7 +142,7 @@
     @Test
     public void oneThatDiesOverItsAnswerIsGone() throws Exception {
         Future<Daemon> start = starting();
-        SocketChannel dies = greeted();
+        SocketChannel dies = greeted(start);
         serves.close();
         links.close();
         dies.close();
--- a/daemon/src/test/java/postgrade/upgrade/HelloTest.java
+++ b/daemon/src/test/java/postgrade/upgrade/HelloTest.java
@@ -24,6 +24,7 @@
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
+import org.junit.rules.Timeout;
 import postgrade.gateway.Timers;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
@@ -33,6 +34,9 @@
 
     private record Task(long atMicros, Runnable does) { }
 
+    /** Reading from a link that is not let go would not end. */
+    @Rule
+    public final Timeout timeout = Timeout.seconds(30);
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
     private final ByteBuffer buffer = ByteBuffer.allocate(64 << 10);
