End the transport only after the voter that still answers on it

Cause: Quorum.close had the voter end on its own thread and ended the transport's thread at once, without waiting. As it ends, a voter refuses whoever still waits for a read (Voter.letGo, Group.silence, Reads.close). Where the transport's thread ended between Server's look whether a call is cancelled and the answer, the answer threw RejectedExecutionException, up through letGo: the engine was not terminated, the store stayed open and thread.close() was never reached. At a leader the other voters' reads wait nearly all the time, so only the two threads' pace decided.

Ruled out, by holding the engine's thread in a scratch copy until the transport's had ended, at each of these places (trials): before the end itself, 3 of 3 closed. Held for 3 s in the sending of a message: closed, as the transport's end waits for that. Held after the look at an answer: not closed at the first try, with the exception above out of letGo. Pulls that are cancelled in time are passed over, and that closed as well. Netty's line itself was not seen in these trials; it says that somebody used the transport after its end, which is the same order.

Change: the voter tells when it has ended, and only then is the transport's thread ended. Beside that, what throws as a group or a voter is let go of no longer leaves engine, store or thread behind.

StoreTest, QuorumTest, LinksTest, AnswersTest, SharedTest and GroundTest passed with it.

--- a/quorum/src/main/java/postgrade/quorum/Quorum.java
+++ b/quorum/src/main/java/postgrade/quorum/Quorum.java
@@ -30,7 +30,7 @@
     private static final java.util.logging.Logger GRPC = java.util.logging.Logger.getLogger("io.grpc");
 
     private final QuorumSettings settings;
-    private final EventLoopGroup events;
+    final EventLoopGroup events;
     private final Links links;
     private final Faults faults;
     private final Faults followFaults;
@@ -124,10 +124,16 @@
         if (server != null) {
             server.close();
         }
+        links.close();
+        // A voter still answers who waits as it ends. Were the transport's thread gone by then, the answer would throw.
         if (voter != null) {
-            voter.close();
+            voter.close(this::endTransport);
+        } else {
+            endTransport();
         }
-        links.close();
+    }
+
+    private void endTransport() {
         events.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     }
 
--- a/quorum/src/main/java/postgrade/quorum/engine/Group.java
+++ b/quorum/src/main/java/postgrade/quorum/engine/Group.java
@@ -162,8 +162,11 @@
     /** Nothing leaves this process any more: not a vote, not an acknowledgement. */
     void silence() {
         silent = true;
-        reads.close();
-        node.terminate();
+        try {
+            reads.close();
+        } finally {
+            node.terminate(); // Also where a waiting reader could not be told.
+        }
     }
 
     String leaderName() {
--- a/quorum/src/main/java/postgrade/quorum/engine/Voter.java
+++ b/quorum/src/main/java/postgrade/quorum/engine/Voter.java
@@ -151,13 +151,18 @@
 
     private void letGo() {
         votes = false;
-        if (group != null) {
-            group.silence();
-            group = null;
-        }
-        if (store != null) {
-            store.close();
-            store = null;
+        Group silenced = group;
+        VoterStore left = store;
+        group = null;
+        store = null;
+        try {
+            if (silenced != null) {
+                silenced.silence();
+            }
+        } finally {
+            if (left != null) {
+                left.close();
+            }
         }
     }
 
@@ -263,12 +268,20 @@
         return HexFormat.of().formatHex(b);
     }
 
-    /** Ends it, with the store closed. */
-    public void close() {
+    /**
+     * Ends it, with the store closed.
+     *
+     * @param ended told on its thread once all that waited here is answered, whatever went wrong at its end
+     */
+    public void close(Runnable ended) {
         thread.submit(() -> {
             closed = true;
-            letGo();
-            thread.close();
+            try {
+                letGo();
+            } finally {
+                thread.close();
+                ended.run();
+            }
         });
     }
 
