Count bytes before they are passed on, and lead a proxy where nobody can listen

Found by reading for verdicts that hang on pace: - Passage.pump wrote bytes and counted them after that. FaultProxyTest.whatIsCutOneWayComes... reads them and compares the counts at once. Bytes whose write fails are counted now too; nothing judges by those. - FaultProxyTest.thePortStays... closed its server and led the proxy to that port, which the system may have given to another process by then. It leads to a held port now, on which nobody listens. - Its sockets had 5 s for what is bound to come. It is 60 s now: that bounds what hangs. What has to stay silent has its 150 ms as before.

--- a/rig/src/main/java/postgrade/rig/proxy/Passage.java
+++ b/rig/src/main/java/postgrade/rig/proxy/Passage.java
@@ -66,8 +66,9 @@
                 }
                 int passing = (int) Math.min(n, left.get(way).getAndAdd(-n));
                 if (passing > 0) {
-                    out.write(buffer, 0, passing);
+                    // Before they are written: whoever has read them must find them counted.
                     bytes.get(way).addAndGet(passing);
+                    out.write(buffer, 0, passing);
                 }
                 if (passing < n) {
                     close();
--- a/rig/src/test/java/postgrade/rig/proxy/FaultProxyTest.java
+++ b/rig/src/test/java/postgrade/rig/proxy/FaultProxyTest.java
@@ -15,17 +15,20 @@
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
+import postgrade.fleet.net.HeldPort;
 
 /** Each switch, seen from both ends. */
 public class FaultProxyTest {
 
+    /** Far above what is needed: it bounds what hangs, and judges nobody's pace. */
+    private static final int MOST_MILLIS = 60_000;
     private ServerSocket server;
     private FaultProxy proxy;
 
     @Before
     public void open() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(5000);
+        server.setSoTimeout(MOST_MILLIS);
         proxy = new FaultProxy("p");
         proxy.leadsTo(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
     }
@@ -38,20 +41,20 @@
 
     private Socket client() throws IOException {
         Socket s = new Socket(InetAddress.getLoopbackAddress(), proxy.port());
-        s.setSoTimeout(5000);
+        s.setSoTimeout(MOST_MILLIS);
         return s;
     }
 
     private Socket accepted() throws IOException {
         Socket s = server.accept();
-        s.setSoTimeout(5000);
+        s.setSoTimeout(MOST_MILLIS);
         return s;
     }
 
     private static void silent(Socket s) throws IOException {
         s.setSoTimeout(150);
         assertThrows(SocketTimeoutException.class, () -> s.getInputStream().read());
-        s.setSoTimeout(5000);
+        s.setSoTimeout(MOST_MILLIS);
     }
 
     private static void ended(Socket s) {
@@ -139,11 +142,15 @@
     public void thePortStaysWhileWhereItLeadsChanges() throws IOException {
         int port = proxy.port();
         server.close();
-        try (Socket c = client()) {
-            ended(c);
+        // Where nobody listens, and nobody else can begin to: the port that was let go of may be another's by now.
+        try (HeldPort nobodys = new HeldPort()) {
+            proxy.leadsTo(nobodys.address());
+            try (Socket c = client()) {
+                ended(c);
+            }
         }
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(5000);
+        server.setSoTimeout(MOST_MILLIS);
         proxy.leadsTo(new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
         try (Socket c = client(); Socket s = accepted()) {
             c.getOutputStream().write(7);
