Give an accepted connection named states, and split ConsumerConnection by concern

Why: its 406 lines kept its state in flags (parsing, exchange, endedMicros, the connection's closing), so what may follow what stood nowhere. No behaviour is changed.

--- /dev/null
+++ b/daemon/src/main/java/postgrade/consumer/Exchange.java
@@ -0,0 +1,53 @@
+package postgrade.consumer;
+
+import postgrade.gateway.Consumer;
+import postgrade.gateway.Invocation;
+
+/** One request that waits for its answer, which goes to its connection unless the peer has left. */
+final class Exchange implements Consumer {
+
+    private static final byte[] NONE = {};
+
+    private final ConsumerConnection connection;
+    final boolean keepsAlive;
+    /** Null for a call-back. */
+    Invocation invocation;
+    int size;
+
+    Exchange(ConsumerConnection connection, boolean keepsAlive) {
+        this.connection = connection;
+        this.keepsAlive = keepsAlive;
+    }
+
+    @Override
+    public void serve(byte[] result) {
+        connection.answer(this, 200, result, 0);
+    }
+
+    @Override
+    public void reject(long retryAfterMicros) {
+        connection.answer(this, 429, NONE, retryAfterMicros);
+    }
+
+    @Override
+    public void fail(boolean timedOut) {
+        connection.answer(this, timedOut ? 504 : 502, NONE, 0);
+    }
+
+    @Override
+    public boolean hasLeft() {
+        if (connection.awaits(this)) {
+            connection.look(); // The end may lie in the socket, behind other bytes or while nothing is read from it.
+        }
+        return !connection.awaits(this);
+    }
+
+    /** Unanswered the provider repeats it, and finds the process that has the job. */
+    void relayed(boolean heard) {
+        if (heard) {
+            connection.answer(this, 204, NONE, 0);
+        } else if (connection.awaits(this)) {
+            connection.drop();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/postgrade/consumer/Requests.java
@@ -0,0 +1,81 @@
+package postgrade.consumer;
+
+import postgrade.gateway.Invocation;
+import postgrade.gateway.Payload;
+import postgrade.http.BadMessage;
+import postgrade.http.Message;
+
+/** What a whole request asks for: a job, readiness, or the hearing of a call-back. */
+final class Requests {
+
+    private Requests() { }
+
+    static void handle(ConsumerConnection on, Message request) {
+        String path = request.target().split("\\?", 2)[0];
+        if (path.equals("/api") || path.startsWith("/api/")) {
+            on.ofConsumer();
+            if (request.method().equals("POST")) {
+                invoke(on, request);
+            } else {
+                on.turnAway(405, "only POST is taken here", request.keepsAlive());
+            }
+        } else if (path.equals("/-/ready")) {
+            on.wasOfUse();
+            boolean ready = on.listener.readyToServe();
+            on.answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", request.keepsAlive());
+        } else if (path.equals(JobEvent.PATH) && request.method().equals("POST")) {
+            callBack(on, request);
+        } else {
+            on.turnAway(404, "no such page", request.keepsAlive());
+        }
+    }
+
+    /** A provider takes an answer for the end of its duty: it leaves only once whoever holds the job has the news. */
+    private static void callBack(ConsumerConnection on, Message request) {
+        JobEvent event;
+        try {
+            event = JobEvent.of(request.body());
+        } catch (IllegalArgumentException e) {
+            on.turnAway(400, e.getMessage(), request.keepsAlive());
+            return;
+        }
+        on.wasOfUse();
+        if (event.tell(on.listener.gateway) || !on.listener.relay.any()) {
+            on.answer(204, "", request.keepsAlive());
+            return;
+        }
+        Exchange waits = on.open(request.keepsAlive());
+        on.listener.relay.callBack(request.body(), waits::relayed);
+    }
+
+    private static void invoke(ConsumerConnection on, Message request) {
+        Listener listener = on.listener;
+        Submission job;
+        try {
+            job = Submission.of(request, listener);
+        } catch (BadMessage e) {
+            on.turnAway(e.status(), e.getMessage(), request.keepsAlive());
+            return;
+        }
+        Exchange opened = on.open(request.keepsAlive());
+        if (request.body().length > ConsumerConnection.SMALL && listener.holdsTooMuch()) {
+            opened.reject(ConsumerConnection.FULL_RETRY_MICROS);
+            return;
+        }
+        opened.size = request.body().length;
+        opened.invocation = new Invocation(job.id(), job.jobClass(), job.tenant(), job.key(), job.slots(), job.memory(),
+                listener.timers.nowMicros() + job.deadlineMicros(),
+                new Payload(request.method(), request.target(), request.header("content-type"),
+                        request.header("idempotency-key"), request.body()),
+                opened);
+        if (listener.gateway.open(opened.invocation)) {
+            on.wasOfUse();
+            if (job.claim() != null && on.awaits(opened)) {
+                job.claim().accept(job.id()); // Not of one turned away at once: a later job may have its id.
+            }
+        } else {
+            on.takeBack();
+            on.turnAway(409, "a job with this id is open", request.keepsAlive());
+        }
+    }
+}
