Find the answers to be forgotten without sorting them all at each step

Seen: with over 10,000 answers kept, Machine.clock calls forgetAnswers at nearly every step, as each new request goes over the bound again, and that copies and sorts all of them to remove one or two (Machine.forgetAnswers, the "over 10,000" of its condition).

Change: the answers' ids are kept beside the rows in the order of when they were given, and at one moment by id, which is the order that the sort gave.

--- a/core/src/main/java/postgrade/shared/Machine.java
+++ b/core/src/main/java/postgrade/shared/Machine.java
@@ -1,9 +1,11 @@
 package postgrade.shared;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import postgrade.shared.Rows.Change;
 
 /**
@@ -26,8 +28,16 @@
     private static final long FORGET_EVERY_MICROS = 10_000_000;
     private static final String FIELD = "field.";
 
+    /** An answer that is kept, by when it was given; of one moment by its id, as every replica must forget the same. */
+    private record Kept(long micros, String requestId) {
+        static final Comparator<Kept> OLDEST_FIRST = Comparator.comparingLong(Kept::micros)
+                .thenComparing(Kept::requestId);
+    }
+
     private final Map<String, Part> parts = new TreeMap<>();
     private Rows rows = new Rows();
+    /** Of the answers among the rows, so that what is to be forgotten is found without looking at them all. */
+    private final NavigableSet<Kept> kept = new TreeSet<>(Kept.OLDEST_FIRST);
     private Moment at;
 
     public Machine(long era, List<Part> parts) {
@@ -73,6 +83,7 @@
         }
         if (!c.requestId().isEmpty()) {
             rows.put(REQUESTS, c.requestId(), row(answer).with("asked", asked(c)));
+            kept.add(new Kept(at.micros(), c.requestId()));
         }
         return answer;
     }
@@ -85,7 +96,6 @@
         long by = Math.max(0, Math.min(MOST_ADVANCE_MICROS, c.args().whole("by", 0)));
         long before = at.micros();
         at = new Moment(at.era(), at.index(), before + by);
-        // Each look reads them all, so it is not done at every step.
         if (at.micros() / FORGET_EVERY_MICROS > before / FORGET_EVERY_MICROS || rows.count(REQUESTS) > MOST_ANSWERS) {
             forgetAnswers();
         }
@@ -94,16 +104,9 @@
     }
 
     private void forgetAnswers() {
-        Map<String, Row> kept = rows.of(REQUESTS);
-        List<String> oldestFirst = new ArrayList<>(kept.keySet());
-        oldestFirst.sort((a, b) -> Long.compare(kept.get(a).whole("at"), kept.get(b).whole("at")));
-        int over = oldestFirst.size() - MOST_ANSWERS;
-        for (int i = 0; i < oldestFirst.size(); i++) {
-            String key = oldestFirst.get(i);
-            if (i >= over && at.micros() - kept.get(key).whole("at") < KEEP_ANSWERS_MICROS) {
-                return;
-            }
-            rows.remove(REQUESTS, key);
+        while (!kept.isEmpty() && (kept.size() > MOST_ANSWERS
+                || at.micros() - kept.first().micros >= KEEP_ANSWERS_MICROS)) {
+            rows.remove(REQUESTS, kept.pollFirst().requestId);
         }
     }
 
@@ -136,5 +139,7 @@
     public void load(Snapshot snapshot) {
         at = snapshot.moment();
         rows = Rows.of(at.index(), snapshot.rows());
+        kept.clear();
+        rows.of(REQUESTS).forEach((id, row) -> kept.add(new Kept(row.whole("at"), id)));
     }
 }
--- a/core/src/test/java/postgrade/shared/MachineTest.java
+++ b/core/src/test/java/postgrade/shared/MachineTest.java
@@ -4,7 +4,11 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
 import org.junit.Test;
 import postgrade.shared.Answer.Status;
 
@@ -86,6 +90,51 @@
         assertEquals(0, machine.rows().count("request"));
     }
 
+    /** What a machine that looks at all its answers forgets at this step; replicas of both kinds must hold the same. */
+    private static void forgetByLooking(Map<String, Long> answers, long before, long now) {
+        if (now / 10_000_000 > before / 10_000_000 || answers.size() > 10_000) {
+            List<Map.Entry<String, Long>> oldestFirst = new ArrayList<>(answers.entrySet());
+            oldestFirst.sort(Map.Entry.comparingByValue());
+            int over = oldestFirst.size() - 10_000;
+            for (int i = 0; i < oldestFirst.size()
+                    && (i < over || now - oldestFirst.get(i).getValue() >= 600_000_000); i++) {
+                answers.remove(oldestFirst.get(i).getKey());
+            }
+        }
+    }
+
+    @Test
+    public void theSameAnswersAreForgottenAsByLookingAtThemAll() {
+        Machine replica = machine;
+        Map<String, Long> answers = new TreeMap<>();
+        Random random = new Random(7);
+        int most = 0;
+        int steps = 0;
+        // Many at one moment first, up to the bound; then so few that the oldest grow too old.
+        for (int i = 0; i < 13_000; i++) {
+            String id = Integer.toHexString(random.nextInt());
+            replica.apply(++index, new Command(id, "a", 1, "count", "add", Row.of("name", "x", "by", 1)));
+            answers.putIfAbsent(id, replica.moment().micros());
+            if (random.nextInt(i < 10_500 ? 40 : 3) == 0) {
+                long before = replica.moment().micros();
+                replica.apply(++index, Machine.advance("a", 1, Machine.MOST_ADVANCE_MICROS));
+                forgetByLooking(answers, before, replica.moment().micros());
+                most = Math.max(most, answers.size());
+                if (++steps % 16 == 0) {
+                    assertEquals(answers.keySet(), replica.rows().of("request").keySet());
+                }
+            }
+            if (i == 6000 || i == 11_000) {
+                Machine later = new Machine(1, List.of(COUNTER));
+                later.load(replica.save());
+                replica = later;
+            }
+        }
+        assertEquals(answers.keySet(), replica.rows().of("request").keySet());
+        assertEquals(10_000, most);
+        assertTrue("none grew too old", answers.size() < 9000);
+    }
+
     @Test
     public void aFollowerOfChangesSeesWhatTheMachineHolds() {
         count("", "x", 1);
