Forget a shorter idle time learnt of another deployment's network when its settings come

Seen by reading: KeepAlive.most kept what was learnt of connections that broke over any reload, also to settings that share no tier, kind, zone or tenant name with the former ones, for up to 30 s and more. The issue asks that nothing of the first is left.

Measured: LearntIdleTest, two stories on turned time: the second fails with the former line (the job goes out on no connection that it had), both pass with the mend; ReloadTest and OtherCustomerTest pass.

--- a/daemon/src/main/java/postgrade/daemon/Reload.java
+++ b/daemon/src/main/java/postgrade/daemon/Reload.java
@@ -23,7 +23,8 @@
             if (!config.sameSettings(next)) {
                 gateway.settings(next.settings, next.mostHeld);
                 listener.settings(next.deadlineMicros, next.tenantNames());
-                providers.settings(next.connectTimeoutMicros, next.idleMicros);
+                providers.settings(next.connectTimeoutMicros, next.idleMicros,
+                        config.settings.deployment.same(next.settings.deployment));
             }
             watch.move(next.discovery);
             return next;
--- a/daemon/src/main/java/postgrade/provider/KeepAlive.java
+++ b/daemon/src/main/java/postgrade/provider/KeepAlive.java
@@ -20,9 +20,13 @@
         limitMicros = mostMicros;
     }
 
-    /** Another time after which providers close; what was learnt of shorter ones holds. */
-    void most(long micros) {
-        limitMicros = limitMicros == mostMicros ? micros : Math.min(limitMicros, micros);
+    /**
+     * Another time after which providers close.
+     *
+     * @param learntHolds the network is the same one, and so is what was learnt of shorter times
+     */
+    void most(long micros, boolean learntHolds) {
+        limitMicros = learntHolds && limitMicros < mostMicros ? Math.min(limitMicros, micros) : micros;
         mostMicros = micros;
     }
 
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -94,10 +94,14 @@
         return keepAlive.most();
     }
 
-    /** Other times hold from now on. */
-    public void settings(long connectMicros, long idleMicros) {
+    /**
+     * Other times hold from now on.
+     *
+     * @param sameDeployment what was learnt of its network holds on
+     */
+    public void settings(long connectMicros, long idleMicros, boolean sameDeployment) {
         connectTimeoutMicros = connectMicros;
-        keepAlive.most((long) (idleMicros * RETIRE));
+        keepAlive.most((long) (idleMicros * RETIRE), sameDeployment);
     }
 
     // ---- The list.
