Let an answered connection rest 20 ms, so that a late second answer is nobody's

Seen on turned time with the second answer held and released: a worker answered 202, the connection was used again at once, and a second answer that came then was taken for the next request's (Link.received, Pool.free, which handed the connection on in the moment of its answer). A `503 X-Not-Run` told the module that a running job had never run; a 202 passed for the answer to a DELETE. Ruled out: bytes that come before the next request is written, which ended the connection already.

Change: an answered connection rests for 20 ms (FreeLinks.REST_MICROS); what comes then ends it as it would an idle one. A request takes an idle connection that has rested, else waits for the first of those that rest, which count as on their way (Pool.lacksOne). Where all have been waited for it opens its own, as before. One that closes under a request that waits for it is replaced at the end of the turn; that is by then the address that the list names. What waits is looked at again as it is given a connection: withdrawn, late, unwanted and drained requests are not written. A timer is set only where something waits. An opening in place of a former address's connection is now told to the pacing too, like all others.

Not the same as before: a request in the 20 ms waits for up to that long, and in a quick sequence a connection is in use later, so one more may be opened than before. Not measured here.

Tests: RestingTest. With no rest all eight stories were red (the two of a second answer by its effect, the others by what they say of waiting); five with resting connections not counted as on their way; one with late requests not looked at; three without the replacement. Green with the change, and so are GiveUpCrossingTest, LateDialTest, StoriesTest, CompanionTest, CopiesTest, UnsentTest, DarkTest, ClaimsTest and WallsTest.

One older story was changed: GiveUpCrossingTest.whatAWorkerHandsBackMeanwhileIsAskedForNoMore lets 20 ms pass before it reads the DELETE on the connection that has just been answered. All it asserts stands.

--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -2,6 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
 import postgrade.gateway.Timers;
 import postgrade.http.BadMessage;
 import postgrade.http.Connection;
@@ -10,13 +13,35 @@
 
 /** One connection to a provider. It carries one request at a time and never sends one again. */
 final class Link implements Connection.Owner {
+
+    /** What follows what stands in {@link #NEXT} alone. */
+    enum State {
+        CONNECTING,
+        /** Has come up, and takes what waits at the end of the turn. */
+        FRESH,
+        /** May carry a request. */
+        IDLE,
+        CARRYING,
+        /** Has been answered a moment ago: what comes now is a second answer, and ends it as it would an idle one. */
+        RESTING,
+        CLOSED
+    }
+
+    static final Map<State, Set<State>> NEXT = Map.of(
+            State.CONNECTING, EnumSet.of(State.FRESH, State.CLOSED),
+            State.FRESH, EnumSet.of(State.IDLE, State.CARRYING, State.CLOSED),
+            State.IDLE, EnumSet.of(State.CARRYING, State.CLOSED),
+            State.CARRYING, EnumSet.of(State.RESTING, State.CLOSED),
+            State.RESTING, EnumSet.of(State.IDLE, State.CLOSED),
+            State.CLOSED, EnumSet.noneOf(State.class));
+
     final Pool pool;
     final InetSocketAddress to;
     final MessageParser parser = MessageParser.ofResponses();
     Connection connection;
     Request request;
     Timers.Timer timer;
-    boolean up;
+    private State state = State.CONNECTING;
     private boolean spoilt;
     /** When it was last left idle, and how long it had been so when it was given its request. */
     long freeMicros;
@@ -27,7 +52,19 @@
         this.to = to;
     }
 
+    State state() {
+        return state;
+    }
+
+    void to(State next) {
+        if (!NEXT.get(state).contains(next)) {
+            throw new IllegalStateException(state + " to " + next);
+        }
+        state = next;
+    }
+
     void carry(Request r) {
+        to(State.CARRYING);
         request = r;
         r.link = this;
         connection.idle(false, false);
@@ -55,10 +92,9 @@
         Request done = request;
         request = null;
         if (more || !response.keepsAlive() || !connection.allSent()) {
-            connection.close();
-            pool.dropped(this);
+            close();
         } else {
-            pool.free(this);
+            pool.answered(this);
         }
         done.link = null;
         done.over = true;
@@ -86,9 +122,11 @@
 
     /** Closes the connection; what it carried is told how far it had come. */
     void fail() {
+        if (state == State.CLOSED) {
+            return;
+        }
         boolean written = connection.allSent();
-        connection.close();
-        pool.dropped(this);
+        close();
         Request lost = request;
         request = null;
         if (lost != null) {
@@ -110,7 +148,13 @@
         request.over = true;
         request.link = null;
         request = null;
+        close();
+    }
+
+    private void close() {
+        State was = state;
+        to(State.CLOSED);
         connection.close();
-        pool.dropped(this);
+        pool.dropped(this, was);
     }
 }
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -9,7 +9,9 @@
 import postgrade.http.Connection;
 import postgrade.http.Reactor;
 
-/** The connections to one provider. A request takes an idle one, else waits for the one it has opened. */
+/**
+ * The connections to one provider. A request takes an idle one, else waits for one that rests or for the one it has opened.
+ */
 final class Pool {
     /** A request waits so long for one of the connections in use, before one more is opened against the pace. */
     static final long PATIENCE_MICROS = 40_000;
@@ -22,12 +24,13 @@
     boolean ready;
     /** Calls, and requests that give up, which keep the pool although the list has dropped the provider. */
     int users;
-    private final ArrayDeque<Link> idle = new ArrayDeque<>();
-    /** Have come up, and take what waits at the end of the turn. */
-    private final ArrayDeque<Link> fresh = new ArrayDeque<>();
+    private final FreeLinks free;
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private int connecting;
+    private int fresh;
     private int up;
+    /** Runs once the first of those that rest has rested; null unless something waits for it. */
+    private Timers.Timer wake;
     /** Connections that are opened against the pace once patience ends, if something still waits for them then. */
     private int postponed;
     private final Supplier<Pacing> pacing;
@@ -40,6 +43,7 @@
         this.timers = timers;
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.keepAlive = keepAlive;
+        free = new FreeLinks(timers, keepAlive);
     }
 
     String host() {
@@ -47,12 +51,16 @@
     }
 
     void send(Request r) {
-        Link link = takeIdle();
+        Link link = waiting.isEmpty() ? free.take() : null;
         if (link != null) {
             link.carry(r);
             return;
         }
         waiting.add(r);
+        if (free.resting() > 0 && !lacksOne()) {
+            wakeForWaiting();
+            return;
+        }
         Pacing pace = pacing.get();
         boolean must = !connected();
         if (pace == null || pace.mayOpen(id, must) || must) {
@@ -63,28 +71,11 @@
             postponed++;
             timers.at(timers.nowMicros() + PATIENCE_MICROS, () -> {
                 postponed--;
-                if (lacksOne()) {
-                    pace.mayOpen(id, true); // Guards the request's time: what it waits for may be stuck.
-                    openInPlace();
-                }
+                replace(); // Guards the request's time: what it waits for may be stuck.
             });
         }
     }
 
-    private Link takeIdle() {
-        for (Link link = idle.pollLast(); link != null; link = idle.pollLast()) {
-            link.timer.cancel();
-            // Guards against a connection that its provider has closed since the loop last looked at it, and one that
-            // has been idle for too long by what has been learnt since.
-            link.idleMicros = timers.nowMicros() - link.freeMicros;
-            if (link.idleMicros < keepAlive.limitMicros(timers.nowMicros()) && link.connection.stillOpen()) {
-                return link;
-            }
-            link.fail();
-        }
-        return null;
-    }
-
     /** A connection is up, in use or not, or on its way. */
     boolean connected() {
         return up + connecting > 0;
@@ -92,7 +83,7 @@
 
     /** More requests wait than connections will come for them. */
     private boolean lacksOne() {
-        return waiting.size() > connecting + fresh.size() + postponed;
+        return waiting.size() > connecting + fresh + postponed + free.resting();
     }
 
     /** False if no socket is to be had. */
@@ -107,10 +98,16 @@
         return true;
     }
 
-    /** One more for what has waited. */
-    private void openInPlace() {
-        if (!open()) {
-            connectFailed();
+    /** One more for what has waited, if what it has waited for is gone. */
+    private void replace() {
+        if (lacksOne()) {
+            Pacing pace = pacing.get();
+            if (pace != null) {
+                pace.mayOpen(id, true);
+            }
+            if (!open()) {
+                connectFailed();
+            }
         }
     }
 
@@ -127,33 +124,63 @@
         r.broken(Request.Break.NEVER_WRITTEN);
     }
 
-    /** A link may carry the next request: it has been answered, or has come up. */
-    void free(Link link) {
-        link.idleMicros = 0;
-        Request next = link.to.equals(address) ? nextInTime() : null;
-        if (!link.to.equals(address)) {
-            link.fail(); // Guards against a former process under this id: the list has named another address meanwhile.
-            if (lacksOne()) {
-                openInPlace();
-            }
-        } else if (next == null) {
-            link.freeMicros = timers.nowMicros();
-            idle.add(link);
-            link.connection.idle(true, false);
-            // Guards against the provider's own closing of idle connections: what is written then is reset.
-            link.timer = timers.at(timers.nowMicros() + keepAlive.limitMicros(timers.nowMicros()), link::fail);
+    /** A link that has come up takes what waits. */
+    private void give(Link link) {
+        if (!isCurrent(link)) {
+            link.fail();
+            return;
+        }
+        fresh--;
+        if (firstInTime() == null) {
+            free.add(link, Link.State.IDLE);
+        } else {
+            link.carry(waiting.poll());
+        }
+    }
+
+    /** A link's request has been answered. */
+    void answered(Link link) {
+        if (isCurrent(link)) {
+            free.add(link, Link.State.RESTING);
+            wakeForWaiting();
         } else {
-            link.carry(next);
+            link.fail();
+            replace();
+        }
+    }
+
+    /** Guards against a former process under this id: the list may have named another address meanwhile. */
+    private boolean isCurrent(Link link) {
+        return link.to.equals(address);
+    }
+
+    private void wakeForWaiting() {
+        if (wake == null && !waiting.isEmpty() && free.resting() > 0) {
+            // At the end of the turn: see cameUp.
+            wake = timers.at(free.firstRestedMicros(), () -> timers.at(timers.nowMicros(), this::giveRested));
+        }
+    }
+
+    /** Those that have rested take what waits. */
+    private void giveRested() {
+        wake = null;
+        while (firstInTime() != null) {
+            Link link = free.take();
+            if (link == null) {
+                break;
+            }
+            link.carry(waiting.poll());
         }
+        wakeForWaiting();
     }
 
     /** Guards what must not run twice: a repeat whose connection has come up too late is not written. */
-    private Request nextInTime() {
-        Request next = waiting.poll();
+    private Request firstInTime() {
+        Request next = waiting.peek();
         while (next != null && next.isLate(timers.nowMicros())) {
-            next.over = true;
+            withdraw(next);
             next.broken(Request.Break.TOO_LATE);
-            next = waiting.poll();
+            next = waiting.peek();
         }
         return next;
     }
@@ -163,29 +190,43 @@
      * turn: nothing is written before all channels have been served and the timers that are due have run.
      */
     void cameUp(Link link) {
-        link.up = true;
+        link.to(Link.State.FRESH);
         link.timer.cancel();
         connecting--;
         up++;
-        fresh.add(link);
+        fresh++;
         timers.at(timers.nowMicros(), () -> {
-            if (fresh.remove(link)) {
-                free(link);
+            if (link.state() == Link.State.FRESH) {
+                give(link);
             }
         });
     }
 
-    void dropped(Link link) {
-        idle.remove(link);
+    /** A link has closed; what waits for it gets another, or has waited in vain. */
+    void dropped(Link link, Link.State was) {
         link.timer.cancel();
-        if (link.up) {
-            up--;
-            if (fresh.remove(link)) {
+        up -= was == Link.State.CONNECTING ? 0 : 1;
+        switch (was) {
+            case CONNECTING -> {
+                connecting--;
                 connectFailed();
             }
-        } else {
-            connecting--;
-            connectFailed();
+            case FRESH -> {
+                fresh--;
+                if (isCurrent(link)) {
+                    connectFailed();
+                } else {
+                    replace();
+                }
+            }
+            case IDLE, RESTING -> {
+                free.remove(link);
+                if (lacksOne()) {
+                    // Not at once: the list may be about to name another address, or its place be wanted for another.
+                    timers.at(timers.nowMicros(), this::replace);
+                }
+            }
+            default -> { }
         }
     }
 
@@ -211,9 +252,7 @@
     }
 
     void closeIdle() {
-        for (Link link : new ArrayList<>(idle)) {
-            link.fail();
-        }
+        free.close();
     }
 
     boolean unused() {
--- a/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -177,6 +177,7 @@
         Arrived job = sent("r1");
         says(job.socket(), TAKEN);
         cancel("r1");
+        pass(20 * MILLI); // Its connection rests.
         delete(job.socket());
         reports("r1", "w1", JobState.RETURNED);
         turn();
