Test what a worker says of an attempt that is all but over

Nothing is changed in the program: three crossings that stood only by reading. A done in the turn in which its attempt is given up is the answer, and no DELETE follows; a 202 behind its answered DELETE finds its connection closed; a reset long after the 202 ends nothing.

--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/LateWordTest.java
@@ -0,0 +1,89 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+import postgrade.gateway.JobState;
+
+/** What a worker says of an attempt when it is all but over, and what comes of its connection long after. */
+public class LateWordTest extends AttemptStage {
+
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    public LateWordTest() throws IOException { }
+
+    private Socket taken(String id) throws IOException {
+        Socket worker = untaken(id);
+        says(worker, TAKEN);
+        return worker;
+    }
+
+    private Socket untaken(String id) throws IOException {
+        open(id);
+        turn();
+        return request(one).socket();
+    }
+
+    private void isServed(String id) {
+        hasHeard("finished " + id + " 0 SERVED true");
+        assertEquals(List.of(id + " served"), answers);
+        assertTrue("nothing is given up", pools.quiet());
+    }
+
+    /** The result is the answer, and the worker is not asked to drop what it has done: its next job may have the same id. */
+    @Test
+    public void doneInTheTurnInWhichItIsGivenUpIsTheAnswerAndNoDeleteFollows() throws Exception {
+        Socket worker = taken("a");
+        script.out.cancel("a", 0);
+        reports("a", "w1", JobState.DONE);
+        turn();
+        isServed("a");
+        pass(100 * MILLI);
+        assertEquals("nothing is asked of it", 0, available(worker));
+        assertEquals("nor on a connection of its own", 1, hand.open());
+    }
+
+    /** Nothing reads it any more: it would be taken for that of the next attempt. */
+    @Test
+    public void a202BehindTheAnsweredDeleteFindsItsConnectionClosed() throws Exception {
+        Socket worker = untaken("b");
+        script.out.cancel("b", 0);
+        turn();
+        Arrived delete = request(one);
+        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/b "));
+        hand.heard(() -> delete.reply("200 OK", ""));
+        turn();
+        hasHeard("finished b 0 CANCELLED false");
+        assertEquals("the one of the DELETE is left", 1, hand.open());
+        assertEquals(-1, worker.getInputStream().read());
+        pass(20 * MILLI);
+        script.out.send("b", "w1", 0);
+        turn();
+        assertEquals("b", request(delete.socket()).header("X-Request-Id"));
+        assertEquals(1, ends().size());
+    }
+
+    /** The worker has taken the job: its connection is of no meaning to it, and only a call-back tells of its end. */
+    @Test
+    public void aResetLongAfterThe202EndsNothing() throws Exception {
+        Socket worker = taken("c");
+        reports("c", "w1", JobState.STARTED);
+        pass(2_000 * MILLI);
+        hand.heard(() -> {
+            worker.setSoLinger(true, 0);
+            worker.close();
+        });
+        turn();
+        pass(100 * MILLI);
+        hasHeard();
+        assertEquals("and nothing is asked of the worker", 0, hand.open());
+        reports("c", "w1", JobState.DONE);
+        turn();
+        isServed("c");
+    }
+}
