Let the stage of attempts say that a worker has taken a job, for four stories' classes

Four classes had the same answer 202 as a constant, and three the same steps up to it. AttemptStage has both now; no check is changed.

--- a/daemon/src/test/java/postgrade/daemon/AttemptStage.java
+++ b/daemon/src/test/java/postgrade/daemon/AttemptStage.java
@@ -29,6 +29,7 @@
 
     static final long MILLI = 1_000;
     static final long DEADLINE = 15_000 * MILLI;
+    static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 
     final Hand hand;
     final List<String> answers = new ArrayList<>();
@@ -143,6 +144,20 @@
         return Peer.read(s);
     }
 
+    /** A worker's side of the connection on which this job has come to it. */
+    Socket untaken(String id) throws IOException {
+        open(id);
+        turn();
+        return request(one).socket();
+    }
+
+    /** As above, and the worker has answered 202. */
+    Socket taken(String id) throws IOException {
+        Socket worker = untaken(id);
+        says(worker, TAKEN);
+        return worker;
+    }
+
     /** The worker says this, and it is read before the turn goes on. */
     void says(Socket worker, String text) throws IOException {
         hand.heard(() -> Peer.write(worker, text));
--- a/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -13,8 +13,6 @@
 /** What a worker says in the moment in which an attempt is given up, or so that nobody can tell what it means. */
 public class GiveUpCrossingTest extends AttemptStage {
 
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     public GiveUpCrossingTest() throws IOException { }
 
     private Arrived sent(String id) throws IOException {
--- a/daemon/src/test/java/postgrade/daemon/LateWordTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LateWordTest.java
@@ -13,22 +13,8 @@
 /** What a worker says of an attempt when it is all but over, and what comes of its connection long after. */
 public class LateWordTest extends AttemptStage {
 
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     public LateWordTest() throws IOException { }
 
-    private Socket taken(String id) throws IOException {
-        Socket worker = untaken(id);
-        says(worker, TAKEN);
-        return worker;
-    }
-
-    private Socket untaken(String id) throws IOException {
-        open(id);
-        turn();
-        return request(one).socket();
-    }
-
     private void isServed(String id) {
         hasHeard("finished " + id + " 0 SERVED true");
         assertEquals(List.of(id + " served"), answers);
--- a/daemon/src/test/java/postgrade/daemon/LearntIdleTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LearntIdleTest.java
@@ -5,32 +5,16 @@
 import java.io.IOException;
 import java.net.Socket;
 import org.junit.Test;
-import postgrade.daemon.Peer.Arrived;
 import postgrade.gateway.JobState;
 
 /** How long an idle connection is trusted with a request, learnt of one that broke, and other settings after that. */
 public class LearntIdleTest extends AttemptStage {
 
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
     public LearntIdleTest() throws IOException { }
 
-    /** Served, with its connection left idle. */
-    private void serves(Arrived job) throws IOException {
-        says(job.socket(), TAKEN);
-        reports(job.header("X-Request-Id"), "w1", JobState.DONE);
-        turn();
-    }
-
-    private Arrived sent(String id) throws IOException {
-        open(id);
-        turn();
-        return request(one);
-    }
-
     /** Idle connections are kept for 1 s from now on: one that was idle for 2 s broke under its request. */
     private void breaksAfterTwoSeconds() throws IOException {
-        Socket former = accepted("a");
+        Socket former = served("a");
         pass(2_000 * MILLI);
         open("b");
         turn();
@@ -40,17 +24,19 @@
         assertEquals("finished b 0 RESET false", ends().get(1));
     }
 
-    private Socket accepted(String id) throws IOException {
-        Arrived job = sent(id);
-        serves(job);
-        return job.socket();
+    /** Its connection is left idle. */
+    private Socket served(String id) throws IOException {
+        Socket worker = taken(id);
+        reports(id, "w1", JobState.DONE);
+        turn();
+        return worker;
     }
 
     @Test
     public void itHoldsUnderTheSameDeploymentsSettings() throws Exception {
         breaksAfterTwoSeconds();
         pools.settings(2_000 * MILLI, 20_000 * MILLI, true);
-        Socket next = accepted("c");
+        Socket next = served("c");
         pass(1_500 * MILLI);
         assertEquals("retired", -1, next.getInputStream().read());
     }
@@ -60,7 +46,7 @@
     public void itIsForgottenUnderAnothers() throws Exception {
         breaksAfterTwoSeconds();
         pools.settings(2_000 * MILLI, 20_000 * MILLI, false);
-        Socket next = accepted("c");
+        Socket next = served("c");
         pass(11_000 * MILLI);
         open("d");
         turn();
--- a/daemon/src/test/java/postgrade/daemon/RestingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/RestingTest.java
@@ -12,19 +12,10 @@
 /** A connection that has just been answered, and a second answer on it that comes some milliseconds late. */
 public class RestingTest extends AttemptStage {
 
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
     private static final String NOT_RUN = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
     public RestingTest() throws IOException { }
 
-    private Socket answered(String id) throws IOException {
-        open(id);
-        turn();
-        Arrived job = request(one);
-        says(job.socket(), TAKEN);
-        return job.socket();
-    }
-
     private void waits(Socket resting, int connections, long micros) {
         pass(micros);
         assertEquals("nothing is written yet", 0, available(resting));
@@ -34,7 +25,7 @@
     /** It was taken for the next job's, which ran on while the module was told that it never ran. */
     @Test
     public void aSecondAnswerIsNotTakenForTheNextJobs() throws Exception {
-        Socket resting = answered("a1");
+        Socket resting = taken("a1");
         open("a2");
         turn();
         pass(20 * MILLI - 1);
@@ -47,7 +38,7 @@
 
     @Test
     public void norForADeletes() throws Exception {
-        Socket resting = answered("b1");
+        Socket resting = taken("b1");
         script.out.cancel("b1", 0);
         turn();
         pass(20 * MILLI - 1);
@@ -62,7 +53,7 @@
 
     @Test
     public void whatFindsOnlyARestingOneWaitsForItAndOpensNoOther() throws Exception {
-        Socket resting = answered("c1");
+        Socket resting = taken("c1");
         pass(5 * MILLI);
         open("c2");
         turn();
@@ -75,7 +66,7 @@
 
     @Test
     public void oneMoreThanThoseThatRestOpensItsOwnAndTheyAreGivenInOrder() throws Exception {
-        Socket resting = answered("d1");
+        Socket resting = taken("d1");
         open("d2");
         open("d3");
         turn();
@@ -106,7 +97,7 @@
 
     @Test
     public void whatIsNoLongerWantedMeanwhileIsNotWritten() throws Exception {
-        Socket resting = answered("f1");
+        Socket resting = taken("f1");
         Invocation left = open("f2");
         turn();
         gateway.abandon(left);
@@ -121,7 +112,7 @@
 
     @Test
     public void norIsAnythingToAWorkerThatDrainsMeanwhile() throws Exception {
-        Socket resting = answered("g1");
+        Socket resting = taken("g1");
         open("g2");
         turn();
         list(target("w1", one, false));
@@ -133,7 +124,7 @@
 
     @Test
     public void whatWaitsGoesToTheAddressThatItsWorkerHasMovedTo() throws Exception {
-        Socket resting = answered("h1");
+        Socket resting = taken("h1");
         open("h2");
         turn();
         list(target("w1", two, true));
