Log and count how each attempt ends, and call-backs that contradict an end

Change: ends carry their evidence (EndEvidence), the policy states its reasons (DecisionReason), telemetry.AttemptLog writes a line for each attempt that does not end with its result, for retries, cancels and answers that follow an attempt, and for call-backs of attempts taken for ended; counters by cause each 10 s and at the end. No decision changed: the order of the policy's checks is as before.

--- a/core/src/main/java/postgrade/dispatch/ActionQueue.java
+++ b/core/src/main/java/postgrade/dispatch/ActionQueue.java
@@ -2,7 +2,10 @@
 
 import java.util.Map;
 import java.util.function.Supplier;
+import postgrade.dispatch.AnsweredRequest.Answer;
+import postgrade.dispatch.EndEvidence.Kind;
 import postgrade.policy.api.AttemptOutcome;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DispatchPolicy;
 import postgrade.policy.api.PolicyActions;
 
@@ -54,22 +57,41 @@
 
     @Override
     public void cancelAttempt(String jobId, int attempt) {
+        cancelAttempt(jobId, attempt, DecisionReason.UNSTATED);
+    }
+
+    @Override
+    public void cancelAttempt(String jobId, int number, DecisionReason reason) {
         batch.addAction(
                 () -> {
                     PendingRequest request = requests.get(jobId);
-                    if (request != null && attempt < request.attempts().size()) {
-                        lifecycle.cancel(request.attempts().get(attempt), AttemptOutcome.CANCELLED);
+                    if (request != null && number < request.attempts().size()) {
+                        cancel(request.attempts().get(number), reason);
                     }
                 });
     }
 
+    private void cancel(Attempt attempt, DecisionReason reason) {
+        if (attempt.isOut()) {
+            lifecycle
+                    .observer()
+                    .attemptCancelled(attempt.id(), attempt.workerId(), attempt.number(), reason);
+        }
+        lifecycle.cancel(attempt, AttemptOutcome.CANCELLED);
+    }
+
     @Override
     public void reject(String jobId, long retryAfterNs) {
+        reject(jobId, retryAfterNs, DecisionReason.UNSTATED);
+    }
+
+    @Override
+    public void reject(String jobId, long retryAfterNs, DecisionReason reason) {
         batch.addAction(
                 () -> {
                     PendingRequest request = requests.get(jobId);
                     if (request != null && !request.isAnswered()) {
-                        lifecycle.markAnswered(request, false);
+                        lifecycle.markAnswered(request, Answer.REJECTED, reason);
                         lifecycle.withdrawUnsent(request);
                         request.client().reject(retryAfterNs / NANOS_PER_MICRO);
                     }
@@ -78,12 +100,17 @@
 
     @Override
     public void fail(String jobId) {
+        fail(jobId, DecisionReason.UNSTATED);
+    }
+
+    @Override
+    public void fail(String jobId, DecisionReason reason) {
         batch.addAction(
                 () -> {
                     PendingRequest request = requests.get(jobId);
                     if (request != null && !request.isAnswered()) {
                         boolean timedOut = timers.nowMicros() >= request.deadlineMicros();
-                        lifecycle.failRequest(request, timedOut);
+                        lifecycle.failRequest(request, timedOut, reason);
                     }
                 });
     }
@@ -139,9 +166,13 @@
         }
         // The client may have left since the loop last looked.
         if (second || untilMicros <= nowMicros || attempt.isUnwanted()) {
-            lifecycle.end(attempt, AttemptOutcome.NOT_SENT, null);
+            Kind why = second ? Kind.OTHER_ATTEMPT_OUT : Kind.UNWANTED;
+            lifecycle.end(attempt, AttemptOutcome.NOT_SENT, EndEvidence.of(why), null);
             return;
         }
+        if (attempt.number() > 0) {
+            lifecycle.observer().attemptRepeated(jobId, workerId, attempt.number());
+        }
         attempt.limitTimer(timers.at(untilMicros, () -> lifecycle.expire(attempt)));
         attempt.handle(transport.get().start(attempt));
     }
--- a/core/src/main/java/postgrade/dispatch/Attempt.java
+++ b/core/src/main/java/postgrade/dispatch/Attempt.java
@@ -36,7 +36,8 @@
     private State state = State.OUT;
     private AttemptHandle handle;
     private Timers.Timer limitTimer;
-    private long startedMicros;
+    private final long beganMicros;
+    private long reportedStartMicros = WireRecord.NEVER;
     private AttemptOutcome outcome;
 
     /**
@@ -56,7 +57,7 @@
         this.workerId = workerId;
         this.untilMicros = untilMicros;
         this.writeByMicros = writeByMicros;
-        startedMicros = nowMicros;
+        beganMicros = nowMicros;
     }
 
     // ---- What the transport asks.
@@ -151,12 +152,22 @@
 
     /** The worker reports that it has started the job. */
     void started(long nowMicros) {
-        startedMicros = nowMicros;
-    }
-
-    /** How long it has run since the worker reported its start, or since it was sent. */
-    long ranMicros(long nowMicros) {
-        return nowMicros - startedMicros;
+        reportedStartMicros = nowMicros;
+    }
+
+    /** What is known of its course, once it has ended. */
+    EndedAttempt summary(EndEvidence evidence, long nowMicros) {
+        return new EndedAttempt(
+                request.id(),
+                request.jobClass(),
+                number,
+                workerId,
+                outcome,
+                evidence,
+                beganMicros,
+                reportedStartMicros,
+                nowMicros,
+                handle == null ? WireRecord.NONE : handle.wireRecord());
     }
 
     /** Returns false, and changes nothing, if it is being cancelled or has ended. */
--- a/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
+++ b/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
@@ -4,7 +4,9 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import postgrade.dispatch.AnsweredRequest.Answer;
 import postgrade.policy.api.AttemptOutcome;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DispatchPolicy;
 import postgrade.policy.api.LoadReport;
 
@@ -77,17 +79,18 @@
     /**
      * An attempt has ended. One that has ended before is left as it is.
      *
+     * @param evidence what showed it
      * @param result of a served job, else null
      */
-    void end(Attempt attempt, AttemptOutcome outcome, byte[] result) {
+    void end(Attempt attempt, AttemptOutcome outcome, EndEvidence evidence, byte[] result) {
         if (!attempt.end(outcome)) {
             return;
         }
         PendingRequest request = attempt.request();
         request.attemptEnded();
-        observer.attemptEnded(request.jobClass(), outcome, attempt.ranMicros(timers.nowMicros()));
+        observer.attemptEnded(attempt.summary(evidence, timers.nowMicros()));
         if (outcome == AttemptOutcome.SERVED && !request.isAnswered()) {
-            markAnswered(request, true);
+            markAnswered(request, Answer.SERVED, DecisionReason.UNSTATED);
             request.client().complete(result);
         }
         boolean last = request.isAnswered();
@@ -105,12 +108,33 @@
     }
 
     /** Marks the one final answer, which the caller gives. */
-    void markAnswered(PendingRequest request, boolean served) {
-        long afterMicros = timers.nowMicros() - request.arrivedMicros();
-        observer.requestAnswered(request.id(), request.jobClass(), afterMicros, served);
+    void markAnswered(PendingRequest request, Answer answer, DecisionReason reason) {
+        observeAnswer(request, answer, reason, sinceArrival(request));
         conclude(request);
     }
 
+    /** Rejects a request that is not tracked. */
+    void rejectUntracked(PendingRequest request, long retryAfterMicros) {
+        request.client().reject(retryAfterMicros);
+        observeAnswer(request, Answer.REJECTED, DecisionReason.NO_ROOM, 0);
+    }
+
+    private long sinceArrival(PendingRequest request) {
+        return timers.nowMicros() - request.arrivedMicros();
+    }
+
+    private void observeAnswer(
+            PendingRequest request, Answer answer, DecisionReason reason, long afterMicros) {
+        observer.requestAnswered(
+                new AnsweredRequest(
+                        request.id(),
+                        request.jobClass(),
+                        answer,
+                        afterMicros,
+                        request.attempts().size(),
+                        reason));
+    }
+
     /** Nothing more is owed. */
     void conclude(PendingRequest request) {
         request.answered();
@@ -123,10 +147,13 @@
      * is told that trying again is harmless. An attempt that still waits for its connection is
      * withdrawn first.
      */
-    void failRequest(PendingRequest request, boolean timedOut) {
-        markAnswered(request, false);
+    void failRequest(PendingRequest request, boolean timedOut, DecisionReason reason) {
+        conclude(request);
         withdrawUnsent(request);
-        if (request.attempts().stream().allMatch(Attempt::wasNeverSent)) {
+        boolean neverSent = request.attempts().stream().allMatch(Attempt::wasNeverSent);
+        Answer answer = neverSent ? Answer.REJECTED : Answer.FAILED;
+        observeAnswer(request, answer, reason, sinceArrival(request));
+        if (neverSent) {
             request.client().reject(RequestTracker.FULL_RETRY_MICROS);
         } else {
             request.client().fail(timedOut);
@@ -141,8 +168,12 @@
     void withdrawUnsent(PendingRequest request) {
         for (Attempt attempt : request.attempts()) {
             if (attempt.isOut() && attempt.isOnWire() && !attempt.handle().isWritten()) {
-                attempt.handle().cancel(() -> {});
-                end(attempt, AttemptOutcome.NOT_SENT, null);
+                attempt.handle().cancel(evidence -> {});
+                end(
+                        attempt,
+                        AttemptOutcome.NOT_SENT,
+                        EndEvidence.of(EndEvidence.Kind.UNWANTED),
+                        null);
             }
         }
     }
@@ -156,7 +187,7 @@
                             + request.jobClass()
                             + " unanswered at its deadline; failed here",
                     null);
-            failRequest(request, true);
+            failRequest(request, true, DecisionReason.UNSTATED);
             notifyPolicy(request, nowNs -> policy.get().clientLeft(nowNs, request.id()));
         }
     }
@@ -169,8 +200,8 @@
             // worker.
             AttemptOutcome outcome =
                     attempt.handle().isWritten() ? AttemptOutcome.TIMEOUT : AttemptOutcome.NOT_SENT;
-            attempt.handle().cancel(() -> {});
-            end(attempt, outcome, null);
+            attempt.handle().cancel(evidence -> {});
+            end(attempt, outcome, EndEvidence.of(EndEvidence.Kind.DEADLINE), null);
         } else {
             attempt.limitTimer(timers.at(deadlineMicros, () -> expire(attempt)));
             cancel(attempt, AttemptOutcome.TIMEOUT);
@@ -183,7 +214,7 @@
      */
     void cancel(Attempt attempt, AttemptOutcome outcome) {
         if (attempt.cancelling()) {
-            attempt.handle().cancel(() -> end(attempt, outcome, null));
+            attempt.handle().cancel(evidence -> end(attempt, outcome, evidence, null));
         }
     }
 }
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import postgrade.dispatch.AnsweredRequest.Answer;
 import postgrade.policy.api.AttemptOutcome;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DispatchPolicy;
 import postgrade.policy.api.JobConstraints;
 import postgrade.policy.api.LoadReport;
@@ -108,8 +110,7 @@
         }
         if (lifecycle.unanswered() >= mostRequests) {
             // Bounds the memory: beyond this a request is rejected before the policy hears of it.
-            request.client().reject(FULL_RETRY_MICROS);
-            lifecycle.observer().requestAnswered(request.id(), request.jobClass(), 0, false);
+            lifecycle.rejectUntracked(request, FULL_RETRY_MICROS);
             return true;
         }
         requests.put(request.id(), request);
@@ -134,7 +135,7 @@
                     InternalErrorListener.JOB_NOT_TAKEN,
                     "the module could not take a job of class " + request.jobClass(),
                     thrown);
-            lifecycle.failRequest(request, false);
+            lifecycle.failRequest(request, false, DecisionReason.UNSTATED);
         }
     }
 
@@ -154,7 +155,7 @@
     public void concludeArrivedSince(long sinceMicros) {
         for (PendingRequest request : new ArrayList<>(requests.values())) {
             if (!request.isAnswered() && request.arrivedMicros() >= sinceMicros) {
-                lifecycle.failRequest(request, false);
+                lifecycle.failRequest(request, false, DecisionReason.UNSTATED);
                 notifyClientLeft(request);
             }
         }
@@ -179,6 +180,7 @@
         PendingRequest request = requests.get(id);
         Attempt attempt = request == null ? null : request.attemptOutAt(workerId);
         if (attempt == null) {
+            lifecycle.observer().reportUnmatched(id, workerId, state);
             return request != null;
         }
         int number = attempt.number();
@@ -204,26 +206,26 @@
             lifecycle.cancel(attempt, AttemptOutcome.RESET);
         } else {
             attempt.handle().endedByReport();
-            lifecycle.end(attempt, state.outcome().orElseThrow(), result);
+            lifecycle.end(attempt, state.outcome().orElseThrow(), EndEvidence.REPORTED, result);
         }
     }
 
-    /** An attempt has ended, as the transport saw it. */
-    public void attemptEnded(Attempt attempt, AttemptOutcome outcome) {
-        lifecycle.end(attempt, outcome, null);
+    /** An attempt has ended, as the transport saw it by this evidence. */
+    public void attemptEnded(Attempt attempt, AttemptOutcome outcome, EndEvidence evidence) {
+        lifecycle.end(attempt, outcome, evidence, null);
     }
 
     /**
      * The worker cannot use what the client sent, and neither will another. It is no failure of the
      * worker's, so for the policy the attempt was cancelled.
      */
-    public void requestUnusable(Attempt attempt) {
+    public void requestUnusable(Attempt attempt, EndEvidence evidence) {
         PendingRequest request = attempt.request();
         if (attempt.isOut() && !request.isAnswered()) {
-            lifecycle.markAnswered(request, false);
+            lifecycle.markAnswered(request, Answer.FAILED, DecisionReason.UNUSABLE);
             request.client().fail(false);
         }
-        lifecycle.end(attempt, AttemptOutcome.CANCELLED, null);
+        lifecycle.end(attempt, AttemptOutcome.CANCELLED, evidence, null);
     }
 
     /** A probe of a worker has ended. */
--- a/core/src/main/java/postgrade/dispatch/WorkerTransport.java
+++ b/core/src/main/java/postgrade/dispatch/WorkerTransport.java
@@ -1,5 +1,7 @@
 package postgrade.dispatch;
 
+import java.util.function.Consumer;
+
 /** The side that speaks to workers, as the dispatcher needs it. Called on the loop's thread. */
 public interface WorkerTransport {
 
@@ -16,11 +18,11 @@
     interface AttemptHandle {
 
         /**
-         * Cancels the attempt on the wire. Runs {@code done} as soon as the worker is sure not to
-         * start it or to continue it as ours: within this method, later, or never if the worker is
-         * silent.
+         * Cancels the attempt on the wire. Tells {@code done} what shows it as soon as the worker
+         * is sure not to start it or to continue it as ours: within this method, later, or never if
+         * the worker is silent.
          */
-        void cancel(Runnable done);
+        void cancel(Consumer<EndEvidence> done);
 
         /** The attempt has ended by a call-back, and nothing is to be cancelled. */
         void endedByReport();
@@ -32,5 +34,8 @@
          * Whether a call-back may yet come: the worker has accepted the job, or has not answered.
          */
         boolean mayReport();
+
+        /** How it has gone on the wire so far. */
+        WireRecord wireRecord();
     }
 }
--- a/core/src/main/java/postgrade/policy/AttemptGuard.java
+++ b/core/src/main/java/postgrade/policy/AttemptGuard.java
@@ -1,6 +1,7 @@
 package postgrade.policy;
 
 import java.util.Map;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DeduplicationScope;
 import postgrade.policy.api.Idempotency;
 import postgrade.policy.api.WorkerInfo;
@@ -88,12 +89,12 @@
     }
 
     /** Gives the final answer: a rejection where trying again is harmless, a failure otherwise. */
-    void conclude(long nowNs, InFlightJob job) {
+    void conclude(long nowNs, InFlightJob job, DecisionReason reason) {
         if (mayReject(job) && nowNs < job.deadlineNs()) {
             long retryAfterNs = Math.min(job.retryAfterNs(), context.settings().maxRetryAfterNs);
-            context.actions().reject(job.id(), retryAfterNs);
+            context.actions().reject(job.id(), retryAfterNs, reason);
         } else if (!job.isAnswered()) {
-            context.actions().fail(job.id());
+            context.actions().fail(job.id(), reason);
         }
         job.answered();
         release(job);
@@ -102,7 +103,7 @@
     /** Cancels the attempts of an answered job, and forgets it once none is out. */
     void release(InFlightJob job) {
         for (int number = 0; number < job.attemptCount(); number++) {
-            cancel(job, number);
+            cancel(job, number, DecisionReason.ANSWERED);
         }
         if (job.attemptsOut() == 0) {
             jobs.remove(job.id());
@@ -110,13 +111,13 @@
     }
 
     /** Cancels an attempt that is out, once, where the settings allow it. */
-    void cancel(InFlightJob job, int number) {
+    void cancel(InFlightJob job, int number, DecisionReason reason) {
         AttemptRecord attempt = job.attempt(number);
         if (!attempt.hasEnded()
                 && !attempt.isCancelled()
                 && context.settings().allowsCancellation) {
             attempt.cancelled();
-            context.actions().cancelAttempt(job.id(), number);
+            context.actions().cancelAttempt(job.id(), number, reason);
         }
     }
 }
--- a/core/src/main/java/postgrade/policy/RetryController.java
+++ b/core/src/main/java/postgrade/policy/RetryController.java
@@ -1,6 +1,8 @@
 package postgrade.policy;
 
+import java.util.Optional;
 import postgrade.policy.api.AttemptOutcome;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.Idempotency;
 
 /**
@@ -72,10 +74,21 @@
         if (worker != null) {
             guard.send(nowNs, job, worker);
         } else if (!mayWait(nowNs, job)) {
-            guard.conclude(nowNs, job);
+            guard.conclude(nowNs, job, reasonNotToWait(nowNs, job));
         }
     }
 
+    private DecisionReason reasonNotToWait(long nowNs, InFlightJob job) {
+        if (job.attemptCount() >= context.settings().maxAttempts) {
+            return DecisionReason.ATTEMPTS_USED_UP;
+        }
+        if (!job.withinQuota()) {
+            return DecisionReason.OVER_QUOTA;
+        }
+        boolean late = job.deadlineNs() - nowNs <= 2 * SWEEP_NS;
+        return late ? DecisionReason.DEADLINE_NEAR : DecisionReason.NO_ROOM;
+    }
+
     private boolean mayWait(long nowNs, InFlightJob job) {
         return job.attemptCount() < context.settings().maxAttempts
                 && (job.withinQuota() || !guard.mayReject(job))
@@ -102,8 +115,9 @@
      * final answer.
      */
     void retry(long nowNs, InFlightJob job, AttemptRecord ended, AttemptOutcome outcome) {
-        if (isOver(nowNs, job, ended, outcome)) {
-            guard.conclude(nowNs, job);
+        Optional<DecisionReason> over = reasonToStop(nowNs, job, ended, outcome);
+        if (over.isPresent()) {
+            guard.conclude(nowNs, job, over.get());
             return;
         }
         boolean free =
@@ -111,26 +125,42 @@
         if (free || budget.spend(1)) {
             place(nowNs, job);
         } else {
-            guard.conclude(nowNs, job);
+            guard.conclude(nowNs, job, DecisionReason.RETRY_BUDGET_EMPTY);
         }
     }
 
-    private boolean isOver(
+    /** Why the job gets no further attempt; empty if it may have one. */
+    private Optional<DecisionReason> reasonToStop(
             long nowNs, InFlightJob job, AttemptRecord ended, AttemptOutcome outcome) {
+        if (job.deadlineNs() - nowNs <= SWEEP_NS) {
+            return Optional.of(DecisionReason.DEADLINE_NEAR);
+        }
         // Not sent to a worker that is draining says nothing of the job: another worker may take
         // it.
-        boolean unwanted = outcome == AttemptOutcome.NOT_SENT && ended.worker().isReady();
-        return job.deadlineNs() - nowNs <= SWEEP_NS
-                || unwanted
-                || job.isStreaming()
-                || (!ended.neverRan() && mustNotRepeat(job))
-                || (outcome == AttemptOutcome.RESET && job.countReset() == MOST_RESETS)
-                || (ended.isCancelled() && isHopeless(nowNs, job, ended.worker()));
+        if (outcome == AttemptOutcome.NOT_SENT && ended.worker().isReady()) {
+            return Optional.of(DecisionReason.UNWANTED);
+        }
+        if (job.isStreaming()) {
+            return Optional.of(DecisionReason.STREAMING);
+        }
+        if (!ended.neverRan() && job.idempotency() == Idempotency.NOT_IDEMPOTENT) {
+            return Optional.of(DecisionReason.MUST_NOT_REPEAT);
+        }
+        if (!ended.neverRan() && outliers.ownFault(job) > MOST_OWN_FAULT) {
+            return Optional.of(DecisionReason.OWN_FAULT);
+        }
+        return reasonToStopByCourse(nowNs, job, ended, outcome);
     }
 
-    private boolean mustNotRepeat(InFlightJob job) {
-        return job.idempotency() == Idempotency.NOT_IDEMPOTENT
-                || outliers.ownFault(job) > MOST_OWN_FAULT;
+    private Optional<DecisionReason> reasonToStopByCourse(
+            long nowNs, InFlightJob job, AttemptRecord ended, AttemptOutcome outcome) {
+        if (outcome == AttemptOutcome.RESET && job.countReset() == MOST_RESETS) {
+            return Optional.of(DecisionReason.REPEATED_RESETS);
+        }
+        if (ended.isCancelled() && isHopeless(nowNs, job, ended.worker())) {
+            return Optional.of(DecisionReason.HOPELESS);
+        }
+        return Optional.empty();
     }
 
     /** Looks after a job at regular times. */
@@ -141,7 +171,7 @@
                 && nowNs < job.deadlineNs()) {
             checkUnstarted(nowNs, job);
         } else if (waits && !job.isStreaming() && nowNs >= job.deadlineNs()) {
-            guard.conclude(nowNs, job);
+            guard.conclude(nowNs, job, DecisionReason.DEADLINE_NEAR);
         } else if (waits && job.attemptsOut() == 0) {
             place(nowNs, job);
         }
@@ -172,10 +202,10 @@
                         && context.settings().allowsCancellation
                         && job.idempotency() != Idempotency.NOT_IDEMPOTENT;
         if (movable && isHopeless(nowNs, job, attempt.worker())) {
-            guard.cancel(job, number);
+            guard.cancel(job, number, DecisionReason.HOPELESS);
         } else if (movable && shouldMove(nowNs, job, attempt)) {
             budget.spend(moveCost());
-            guard.cancel(job, number);
+            guard.cancel(job, number, DecisionReason.MOVED);
         } else if (!attempt.isPresumedLost()
                 && nowNs - attempt.sentNs() > LOST_AFTER * classes.longestServiceTimeNs()) {
             attempt.presumeLost();
--- a/core/src/main/java/postgrade/policy/TokenBucketDispatchPolicy.java
+++ b/core/src/main/java/postgrade/policy/TokenBucketDispatchPolicy.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import postgrade.policy.api.AttemptOutcome;
+import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DispatchPolicy;
 import postgrade.policy.api.Job;
 import postgrade.policy.api.JobConstraints;
@@ -100,7 +101,7 @@
         long startsInNs = state.context().constraints().startsInNs(nowNs, job);
         if (startsInNs > 0) {
             // Perhaps hours: the longest usual pause does not bound it.
-            state.context().actions().reject(job.id(), startsInNs);
+            state.context().actions().reject(job.id(), startsInNs, DecisionReason.NOT_ALLOWED_NOW);
             return;
         }
         long limitedForNs = state.rateLimiter().charge(nowNs, job);
--- a/core/src/main/java/postgrade/policy/api/PolicyActions.java
+++ b/core/src/main/java/postgrade/policy/api/PolicyActions.java
@@ -26,6 +26,11 @@
      */
     void cancelAttempt(String jobId, int attempt);
 
+    /** As above, with the reason for the log. */
+    default void cancelAttempt(String jobId, int attempt, DecisionReason reason) {
+        cancelAttempt(jobId, attempt);
+    }
+
     /**
      * The final answer: the job has not run, and trying again is harmless.
      *
@@ -33,9 +38,19 @@
      */
     void reject(String jobId, long retryAfterNs);
 
+    /** As above, with the reason for the log. */
+    default void reject(String jobId, long retryAfterNs, DecisionReason reason) {
+        reject(jobId, retryAfterNs);
+    }
+
     /** The final answer: the job has failed, and nothing is promised of its effect. */
     void fail(String jobId);
 
+    /** As above, with the reason for the log. */
+    default void fail(String jobId, DecisionReason reason) {
+        fail(jobId);
+    }
+
     /** Asks a worker whether it is well. */
     void probe(String workerId);
 
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import postgrade.discovery.DiscoveryWatch;
 import postgrade.discovery.WatchTimeouts;
 import postgrade.discovery.WorkerList;
+import postgrade.dispatch.RequestObserver;
 import postgrade.dispatch.RequestTracker;
 import postgrade.http.SocketBudget;
 import postgrade.http.SystemCalls;
@@ -25,6 +26,7 @@
 import postgrade.policy.api.PolicyActions;
 import postgrade.policy.api.WorkerListForm;
 import postgrade.provider.ProviderPools;
+import postgrade.telemetry.AttemptLog;
 import postgrade.upgrade.Upgrade;
 
 /** One dispatcher: puts the parts together, passes the list on, and stops in order. */
@@ -43,6 +45,7 @@
     private final Loop loop;
     private final RequestTracker gateway;
     private final ProviderPools providers;
+    private final AttemptLog attemptLog;
     private final Listener listener;
     private final DiscoveryWatch watch;
     private final Thread thread;
@@ -110,6 +113,8 @@
                 new ProviderPools(
                         gateway, loop, loop, config.connectTimeoutMicros, config.idleMicros);
         gateway.connectTransport(providers);
+        attemptLog = new AttemptLog(loop);
+        gateway.observer(attemptLog);
         workers = new Workers(providers, gateway, config.clock);
         upgrade =
                 new Upgrade(
@@ -166,7 +171,7 @@
             providers.fences(companion::fence);
             providers.pacing(companion::mayConnect);
             gateway.constraintsChanged(companion.ability());
-            gateway.observer(companion.witness());
+            gateway.observer(RequestObserver.both(attemptLog, companion.witness()));
             listener.claims(companion.claims());
         }
         ending =
@@ -259,6 +264,7 @@
                             return gateway.hasPendingEvents();
                         }
                     });
+            attemptLog.logCounts();
         } catch (IOException | RuntimeException | Error e) {
             // Guards against a process that lives on without its loop: what restarts us must see it
             // die.
--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -3,11 +3,16 @@
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import postgrade.dispatch.Attempt;
+import postgrade.dispatch.ConnectionUse;
+import postgrade.dispatch.EndEvidence;
+import postgrade.dispatch.EndEvidence.Kind;
 import postgrade.dispatch.RequestPayload;
 import postgrade.dispatch.RequestTracker;
 import postgrade.dispatch.Timers;
+import postgrade.dispatch.WireRecord;
 import postgrade.dispatch.WorkerTransport;
 import postgrade.http.Message;
 import postgrade.http.MessageWriter;
@@ -54,6 +59,10 @@
     private State state = State.OUT;
     private boolean accepted;
     private boolean reached;
+    private long writtenMicros = WireRecord.NEVER;
+    private long acceptedMicros = WireRecord.NEVER;
+    private long cancelledMicros = WireRecord.NEVER;
+    private ConnectionUse connection;
 
     /** Not null from the state {@link State#GIVING_UP} on. */
     private GiveUp giveUp;
@@ -124,9 +133,9 @@
         return true;
     }
 
-    private void end(AttemptOutcome outcome) {
+    private void end(AttemptOutcome outcome, EndEvidence evidence) {
         if (over()) {
-            gateway.attemptEnded(call, outcome);
+            gateway.attemptEnded(call, outcome, evidence);
             stopGivingUp();
         }
     }
@@ -142,36 +151,39 @@
         int status = response.status();
         boolean neverRan = "1".equals(response.header("x-not-run"));
         if (status == 202) {
-            accepted =
-                    true; // Its end comes by a call-back, or by the answer to a DELETE under way.
+            // Its end comes by a call-back, or by the answer to a DELETE under way.
+            accepted = true;
+            acceptedMicros = timers.nowMicros();
             to(State.TAKEN);
         } else if (status == 500 || status == 503 || status == 504) {
-            end(neverRan && status != 500 ? AttemptOutcome.FULL : AttemptOutcome.ERROR);
+            end(
+                    neverRan && status != 500 ? AttemptOutcome.FULL : AttemptOutcome.ERROR,
+                    EndEvidence.answered(status));
         } else if (status / 100 == 4 && status != 408 && status != 429) {
             if (over()) {
-                gateway.requestUnusable(call);
+                gateway.requestUnusable(call, EndEvidence.answered(status));
                 stopGivingUp();
             }
         } else {
-            spoilt(
-                    AttemptOutcome
-                            .ERROR); // No answer that the protocol knows: the job may run, or may
-            // yet.
+            // No answer that the protocol knows: the job may run, or may yet.
+            spoilt(AttemptOutcome.ERROR);
         }
     }
 
     @Override
     void broken(Break how) {
         switch (how) {
-            case NO_SOCKET -> end(AttemptOutcome.NO_SOCKET);
-            case NEVER_WRITTEN -> end(AttemptOutcome.UNREACHABLE);
-            case DRAINED, TOO_LATE -> end(AttemptOutcome.NOT_SENT);
+            case NO_SOCKET -> end(AttemptOutcome.NO_SOCKET, EndEvidence.of(Kind.NO_SOCKET));
+            case NEVER_WRITTEN -> end(AttemptOutcome.UNREACHABLE, EndEvidence.of(neverWritten()));
+            case DRAINED -> end(AttemptOutcome.NOT_SENT, EndEvidence.of(Kind.WORKER_NOT_READY));
+            case TOO_LATE -> end(AttemptOutcome.NOT_SENT, EndEvidence.of(whyLate()));
             case AFTER_LAST_BYTE -> {
                 reached = true;
                 if (state == State.GIVING_UP) {
-                    giveUp.finish(); // The connection ended before any 202.
+                    // The connection ended before any 202.
+                    giveUp.finish(EndEvidence.of(Kind.BROKEN));
                 } else {
-                    end(AttemptOutcome.RESET);
+                    end(AttemptOutcome.RESET, EndEvidence.of(Kind.BROKEN));
                 }
             }
             // What came may have been a 202, after which a broken connection ends nothing.
@@ -187,7 +199,7 @@
     private void spoilt(AttemptOutcome as) {
         reached = true;
         if (to(State.GIVING_UP)) {
-            dropBy(() -> gateway.attemptEnded(call, as));
+            dropBy(evidence -> gateway.attemptEnded(call, as, evidence));
         }
     }
 
@@ -225,7 +237,28 @@
     }
 
     @Override
-    public void cancel(Runnable done) {
+    public WireRecord wireRecord() {
+        return new WireRecord(writtenMicros, acceptedMicros, cancelledMicros, connection);
+    }
+
+    @Override
+    void carriedBy(Link carrier) {
+        writtenMicros = timers.nowMicros();
+        connection =
+                new ConnectionUse(
+                        writtenMicros - carrier.upMicros, carrier.idleMicros, carrier.carried);
+    }
+
+    private Kind neverWritten() {
+        return connection == null ? Kind.NOT_CONNECTED : Kind.NOT_WRITTEN;
+    }
+
+    private Kind whyLate() {
+        return call.isUnwanted() ? Kind.UNWANTED : Kind.WRITE_WINDOW_OVER;
+    }
+
+    @Override
+    public void cancel(Consumer<EndEvidence> done) {
         if (state == State.GIVING_UP || state == State.ENDED) {
             return;
         }
@@ -236,7 +269,7 @@
                 link.abort(); // In part: without its last byte it never begins.
             }
             over();
-            done.run();
+            done.accept(EndEvidence.of(Kind.NOT_WRITTEN));
             return;
         }
         to(State.GIVING_UP);
@@ -249,16 +282,17 @@
         }
     }
 
-    private void dropBy(Runnable done) {
+    private void dropBy(Consumer<EndEvidence> done) {
+        cancelledMicros = timers.nowMicros();
         giveUp =
                 new GiveUp(
                         timers,
                         pool,
                         call,
                         givingUp,
-                        () -> {
+                        evidence -> {
                             to(State.ENDED);
-                            done.run();
+                            done.accept(evidence);
                             if (link != null) {
                                 link.abort(); // Nothing is awaited on it any more.
                             }
@@ -272,7 +306,7 @@
             boolean untaken = !link.answerBegan();
             link.abort();
             if (untaken) {
-                giveUp.finish();
+                giveUp.finish(EndEvidence.of(Kind.CLOSED));
             }
         }
     }
--- a/daemon/src/main/java/postgrade/provider/GiveUp.java
+++ b/daemon/src/main/java/postgrade/provider/GiveUp.java
@@ -1,7 +1,10 @@
 package postgrade.provider;
 
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import postgrade.dispatch.Attempt;
+import postgrade.dispatch.EndEvidence;
+import postgrade.dispatch.EndEvidence.Kind;
 import postgrade.dispatch.Timers;
 import postgrade.http.Message;
 import postgrade.http.MessageWriter;
@@ -26,7 +29,7 @@
     private final Pool pool;
     private final Attempt call;
     private final IntConsumer underWay;
-    private final Runnable done;
+    private final Consumer<EndEvidence> done;
     private Delete delete;
     private boolean finished;
     private long pauseMicros = FIRST_PAUSE_MICROS;
@@ -34,7 +37,12 @@
     /**
      * @param underWay counts those that are under way
      */
-    GiveUp(Timers timers, Pool pool, Attempt call, IntConsumer underWay, Runnable done) {
+    GiveUp(
+            Timers timers,
+            Pool pool,
+            Attempt call,
+            IntConsumer underWay,
+            Consumer<EndEvidence> done) {
         this.timers = timers;
         this.pool = pool;
         this.call = call;
@@ -64,9 +72,9 @@
     }
 
     /** The call is given up. A DELETE under way goes on, and frees the provider in any case. */
-    void finish() {
+    void finish(EndEvidence evidence) {
         if (close()) {
-            done.run();
+            done.accept(evidence);
         }
     }
 
@@ -87,7 +95,8 @@
      */
     private void again() {
         if (timers.nowMicros() >= call.deadlineMicros()) {
-            finish(); // The consumer has its answer by now and nothing will be sent again.
+            // The client has its answer by now and nothing will be sent again.
+            finish(EndEvidence.of(Kind.DEADLINE));
         } else {
             // The last one goes out at the deadline: a longer pause would keep a process that is to
             // end waiting for it.
@@ -116,7 +125,7 @@
 
         @Override
         void answered(Message response) {
-            finish();
+            finish(new EndEvidence(Kind.CANCEL_CONFIRMED, response.status()));
         }
 
         @Override
--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -53,6 +53,11 @@
 
     long idleMicros;
 
+    /** When it came up, and how many requests it has been given. */
+    long upMicros;
+
+    int carried;
+
     Link(Pool pool, InetSocketAddress to) {
         this.pool = pool;
         this.to = to;
@@ -73,6 +78,8 @@
         to(State.CARRYING);
         request = r;
         r.link = this;
+        r.carriedBy(this);
+        carried++;
         connection.idle(false, false);
         r.writeTo(connection);
     }
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -234,6 +234,7 @@
      */
     void cameUp(Link link) {
         link.to(Link.State.FRESH);
+        link.upMicros = timers.nowMicros();
         link.timer.cancel();
         connecting--;
         up++;
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import postgrade.dispatch.Attempt;
+import postgrade.dispatch.EndEvidence;
 import postgrade.dispatch.RequestTracker;
 import postgrade.dispatch.Timers;
+import postgrade.dispatch.WireRecord;
 import postgrade.dispatch.WorkerTransport;
 import postgrade.http.Message;
 import postgrade.http.MessageWriter;
@@ -33,7 +36,7 @@
     private static final AttemptHandle NOT_SENT =
             new AttemptHandle() {
                 @Override
-                public void cancel(Runnable done) {}
+                public void cancel(Consumer<EndEvidence> done) {}
 
                 @Override
                 public void endedByReport() {}
@@ -47,6 +50,11 @@
                 public boolean mayReport() {
                     return false;
                 }
+
+                @Override
+                public WireRecord wireRecord() {
+                    return WireRecord.NONE;
+                }
             };
 
     private final Reactor reactor;
@@ -178,7 +186,10 @@
     public AttemptHandle start(Attempt call) {
         Pool pool = pools.get(call.workerId());
         if (pool == null || !pool.ready) {
-            gateway.attemptEnded(call, AttemptOutcome.NOT_SENT);
+            gateway.attemptEnded(
+                    call,
+                    AttemptOutcome.NOT_SENT,
+                    EndEvidence.of(EndEvidence.Kind.WORKER_NOT_READY));
             return NOT_SENT;
         }
         Call sent =
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -47,6 +47,9 @@
         body = NONE; // A call may last for seconds after it is written.
     }
 
+    /** It is about to be written on this link, whose counts do not include it yet. */
+    void carriedBy(Link carrier) {}
+
     /** Only new work is kept from a provider that drains; giving up goes on. */
     abstract boolean isNewWork();
 
--- a/sharing/src/main/java/postgrade/sharing/Shared.java
+++ b/sharing/src/main/java/postgrade/sharing/Shared.java
@@ -11,6 +11,8 @@
 import postgrade.comeback.Recovery;
 import postgrade.companion.Companion;
 import postgrade.companion.Host;
+import postgrade.dispatch.AnsweredRequest;
+import postgrade.dispatch.EndedAttempt;
 import postgrade.dispatch.ExtensionHeaders;
 import postgrade.dispatch.RequestObserver;
 import postgrade.lease.Fleet;
@@ -291,17 +293,16 @@
     public RequestObserver witness() {
         return new RequestObserver() {
             @Override
-            public void requestAnswered(
-                    String id, String jobClass, long afterMicros, boolean served) {
-                progress.requestAnswered(id, jobClass, afterMicros, served);
-                opening.answered(id);
+            public void requestAnswered(AnsweredRequest answered) {
+                progress.requestAnswered(answered);
+                opening.answered(answered.requestId());
             }
 
             @Override
-            public void attemptEnded(String jobClass, AttemptOutcome outcome, long ranMicros) {
-                progress.attemptEnded(jobClass, outcome, ranMicros);
-                if (outcome == AttemptOutcome.SERVED) {
-                    opening.ran(jobClass, ranMicros);
+            public void attemptEnded(EndedAttempt ended) {
+                progress.attemptEnded(ended);
+                if (ended.outcome() == AttemptOutcome.SERVED) {
+                    opening.ran(ended.jobClass(), ended.ranMicros());
                 }
             }
         };
--- a/sharing/src/main/java/postgrade/sharing/progress/Progress.java
+++ b/sharing/src/main/java/postgrade/sharing/progress/Progress.java
@@ -14,6 +14,8 @@
 import postgrade.comeback.Recovery.Step;
 import postgrade.comeback.Worth;
 import postgrade.companion.Host;
+import postgrade.dispatch.AnsweredRequest;
+import postgrade.dispatch.EndedAttempt;
 import postgrade.dispatch.RequestObserver;
 import postgrade.log.Events;
 import postgrade.policy.api.AttemptOutcome;
@@ -136,18 +138,21 @@
     }
 
     @Override
-    public void requestAnswered(String id, String jobClass, long afterMicros, boolean served) {
-        JobClass c = classes.get(jobClass);
+    public void requestAnswered(AnsweredRequest answered) {
+        JobClass c = classes.get(answered.jobClass());
         if (c != null) {
             double aim =
                     c.latencyObjectiveNs() / NANOS
-                            + c.objectivePerServiceTime() * meanMicros.getOrDefault(jobClass, 0.0);
-            worth.add(host.timers().nowMicros(), c.priorityWeight(), served && afterMicros <= aim);
+                            + c.objectivePerServiceTime()
+                                    * meanMicros.getOrDefault(answered.jobClass(), 0.0);
+            boolean inTime = answered.isServed() && answered.afterMicros() <= aim;
+            worth.add(host.timers().nowMicros(), c.priorityWeight(), inTime);
         }
     }
 
     @Override
-    public void attemptEnded(String jobClass, AttemptOutcome outcome, long ranMicros) {
+    public void attemptEnded(EndedAttempt ended) {
+        AttemptOutcome outcome = ended.outcome();
         if (ramp != null && (outcome == AttemptOutcome.FULL || outcome == AttemptOutcome.SERVED)) {
             ramp.answered(outcome == AttemptOutcome.FULL);
         }
