--- a/fleet/src/main/java/postgrade/fleet/net/Fleet.java
+++ b/fleet/src/main/java/postgrade/fleet/net/Fleet.java
@@ -34,7 +34,22 @@
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final long FLUSH_MS = 50;
 
+    /** Where dispatchers are told that workers listen: at their own addresses, or before them. */
+    public interface AddressView {
+
+        /** Every worker is told of at its own address. */
+        AddressView DIRECT = (dispatcher, worker, address) -> address;
+
+        /**
+         * The address that a dispatcher, counted from 0, is told of a worker.
+         *
+         * @param address the worker's own, as {@code host:port}
+         */
+        String of(int dispatcher, String worker, String address);
+    }
+
     private final FleetPlan plan;
+    private final AddressView view;
     private final Path folder;
     private final NioEventLoopGroup loops;
     private final Ledger workersLedger;
@@ -54,7 +69,14 @@
      */
     public Fleet(FleetPlan plan, Path folder, int dispatchers, int threads)
             throws IOException, InterruptedException {
+        this(plan, folder, dispatchers, threads, AddressView.DIRECT);
+    }
+
+    /** Starts a fleet whose workers are told of at other addresses than their own. */
+    public Fleet(FleetPlan plan, Path folder, int dispatchers, int threads, AddressView view)
+            throws IOException, InterruptedException {
         this.plan = plan;
+        this.view = view;
         this.folder = folder;
         random = new SplittableRandom(plan.seed + 17);
         Files.createDirectories(folder);
@@ -141,7 +163,7 @@
             WorkerServer w, int dispatcher, String state, long startedMillis) {
         return new DiscoveryServer.Entry(
                 w.worker.id(),
-                w.address(dispatcher),
+                view.of(dispatcher, w.worker.id(), w.address(dispatcher)),
                 w.worker.zone(),
                 w.worker.spec().kind(),
                 state,
--- a/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
+++ b/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
@@ -13,6 +13,9 @@
 /** What comes on one connection to a worker: jobs, and jobs that are given up. */
 final class WorkerRequests extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+    /** So late is a 202 that its call-back precedes. */
+    private static final long EARLY_MICROS = 20_000;
+
     private final WorkerServer server;
     private final int dispatcher;
     private final Http.FirstByte first;
@@ -163,15 +166,20 @@
         if (a.ended) {
             return; // The worker fell over by it, or it is done already.
         }
+        // A call-back may come before the 202.
         boolean early = server.random.nextDouble() < server.plan.callBacks.early();
-        if (early) { // A call-back may come before the 202.
-            server.loop.schedule(() -> accept(ctx, a), 20, TimeUnit.MILLISECONDS);
+        long answerMicros = early ? EARLY_MICROS : (long) (server.plan.answerMs * 1000);
+        if (answerMicros > 0) {
+            server.loop.schedule(() -> accept(ctx, a), answerMicros, TimeUnit.MICROSECONDS);
         } else {
             accept(ctx, a);
         }
     }
 
     private void accept(ChannelHandlerContext ctx, Attempt a) {
+        if (!ctx.channel().isActive()) {
+            return; // Given up by the close, or over.
+        }
         a.accepted = true;
         answer(ctx, 202, "");
     }
--- a/fleet/src/main/java/postgrade/fleet/plan/FleetPlan.java
+++ b/fleet/src/main/java/postgrade/fleet/plan/FleetPlan.java
@@ -130,6 +130,9 @@
     public final double handshakeMs;
     public final double progressMs;
 
+    /** How long after it has taken a job a worker answers 202. */
+    public final double answerMs;
+
     private FleetPlan(String name, Module m) {
         this.name = name;
         seed = (long) number(m, "seed", 1, Long.MIN_VALUE);
@@ -215,6 +218,7 @@
         mostConnections = (int) number(m, "most_connections", 256, 1);
         handshakeMs = number(m, "handshake_ms", 2, 0);
         progressMs = number(m, "progress_ms", 1000, 0);
+        answerMs = number(m, "answer_ms", 0, 0);
     }
 
     /** Reads a fleet from a file. */
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/jobs/FaultChoice.java
@@ -0,0 +1,22 @@
+package postgrade.rig.jobs;
+
+/** Chooses what happens to an exchange. Called on threads of the proxies. */
+@FunctionalInterface
+public interface FaultChoice {
+
+    /** Nothing happens to any exchange. */
+    FaultChoice NONE = exchange -> ExchangeFault.NONE;
+
+    /**
+     * An exchange that begins.
+     *
+     * @param dispatcher counted from 0
+     * @param subject the id of the request that it is about
+     * @param isJob whether it carries the job, else it cancels it
+     * @param number of the exchange on its connection, from 0
+     */
+    record Exchange(int dispatcher, String worker, String subject, boolean isJob, int number) {}
+
+    /** What happens to this one. */
+    ExchangeFault of(Exchange exchange);
+}
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/jobs/JobProxies.java
@@ -0,0 +1,63 @@
+package postgrade.rig.jobs;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import postgrade.fleet.net.Fleet;
+import postgrade.rig.history.History;
+
+/** A proxy between every dispatcher and every worker that its list names. */
+public final class JobProxies implements Fleet.AddressView, Closeable {
+
+    private final History history;
+    private final Map<String, JobProxy> proxies = new HashMap<>();
+    private final ScheduledExecutorService clock =
+            Executors.newSingleThreadScheduledExecutor(task -> JobProxy.daemon("clock", task));
+    private FaultChoice faults = FaultChoice.NONE;
+
+    /** What the proxies do goes to this history. */
+    public JobProxies(History history) {
+        this.history = history;
+    }
+
+    @Override
+    public synchronized String of(int dispatcher, String worker, String address) {
+        return proxies.computeIfAbsent(
+                        dispatcher + " " + worker, key -> open(dispatcher, worker, address))
+                .address();
+    }
+
+    private JobProxy open(int dispatcher, String worker, String address) {
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress target =
+                new InetSocketAddress(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)));
+        try {
+            JobProxy proxy = new JobProxy(dispatcher, worker, target, history, clock);
+            proxy.faults(faults);
+            return proxy;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Faults of exchanges that begin from now on. */
+    public synchronized void faults(FaultChoice choice) {
+        faults = choice;
+        proxies.values().forEach(proxy -> proxy.faults(choice));
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        clock.shutdownNow();
+        for (JobProxy proxy : proxies.values()) {
+            proxy.close();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/jobs/ProxiedConnection.java
@@ -0,0 +1,234 @@
+package postgrade.rig.jobs;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** One connection through a {@link JobProxy}: a thread for each way. */
+final class ProxiedConnection {
+
+    private static final byte[] FULL = RawMessage.answer("503 Full", "X-Not-Run: 1");
+    private static final byte[] ERROR = RawMessage.answer("500 Error");
+
+    private final JobProxy proxy;
+    private final Socket dispatcherSide;
+    private final Socket workerSide;
+
+    private record Unanswered(RawMessage request, ExchangeFault fault) {}
+
+    /** The exchanges whose answers are due, in the order of their requests. */
+    private final BlockingQueue<Unanswered> unanswered = new LinkedBlockingQueue<>();
+
+    private final AtomicInteger waysOpen = new AtomicInteger(2);
+
+    ProxiedConnection(JobProxy proxy, Socket dispatcherSide, Socket workerSide) {
+        this.proxy = proxy;
+        this.dispatcherSide = dispatcherSide;
+        this.workerSide = workerSide;
+    }
+
+    void begin() {
+        JobProxy.daemon("to " + proxy.worker, () -> run(this::passRequests)).start();
+        JobProxy.daemon("from " + proxy.worker, () -> run(this::passAnswers)).start();
+    }
+
+    private interface Way {
+        void pass() throws IOException, InterruptedException;
+    }
+
+    private void run(Way way) {
+        try {
+            way.pass();
+        } catch (IOException e) {
+            reset();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            reset();
+        }
+    }
+
+    private void passRequests() throws IOException, InterruptedException {
+        InputStream in = new BufferedInputStream(dispatcherSide.getInputStream());
+        int number = 0;
+        for (RawMessage request = RawMessage.read(in);
+                request != null;
+                request = RawMessage.read(in)) {
+            ExchangeFault fault = proxy.choose(request, number);
+            switch (fault.kind()) {
+                case RESET_BEFORE_REQUEST -> {
+                    reset();
+                    return;
+                }
+                case RESET_IN_REQUEST -> {
+                    workerSide.getOutputStream().write(half(request.bytes()));
+                    reset();
+                    return;
+                }
+                case LATE_REQUEST -> TimeUnit.MILLISECONDS.sleep(fault.delayMillis());
+                case OVERTAKEN -> {
+                    if (request.isJob()) {
+                        proxy.overtaking(request.subject()).awaitCancelled();
+                    }
+                }
+                case STALE_ANSWER -> {
+                    if (number > 0) {
+                        writeAnswer(FULL);
+                    }
+                }
+                default -> {}
+            }
+            number++;
+            unanswered.add(new Unanswered(request, fault));
+            workerSide.getOutputStream().write(request.bytes());
+            if (fault.kind() == ExchangeFault.Kind.RESET_AFTER_REQUEST) {
+                reset();
+                return;
+            }
+        }
+        workerSide.shutdownOutput();
+        wayEnded();
+    }
+
+    private void passAnswers() throws IOException, InterruptedException {
+        InputStream in = new BufferedInputStream(workerSide.getInputStream());
+        for (RawMessage answer = RawMessage.read(in);
+                answer != null;
+                answer = RawMessage.read(in)) {
+            Unanswered exchange = unanswered.poll();
+            if (exchange == null) {
+                throw new IOException("an answer that nobody asked for");
+            }
+            if (!passAnswer(answer.bytes(), exchange)) {
+                return;
+            }
+        }
+        dispatcherSide.shutdownOutput();
+        wayEnded();
+    }
+
+    private void wayEnded() throws IOException {
+        if (waysOpen.decrementAndGet() == 0) {
+            close();
+        }
+    }
+
+    /** False if nothing more passes. */
+    private boolean passAnswer(byte[] answer, Unanswered exchange)
+            throws IOException, InterruptedException {
+        ExchangeFault fault = exchange.fault();
+        switch (fault.kind()) {
+            case RESET_BEFORE_ANSWER -> {
+                resetDispatcherSide();
+                return false;
+            }
+            case RESET_IN_ANSWER -> {
+                writeAnswer(half(answer));
+                resetDispatcherSide();
+                return false;
+            }
+            case LOST_ANSWER -> {
+                return true;
+            }
+            case OVERTAKEN -> {
+                passOvertaken(answer, exchange.request());
+                return true;
+            }
+            case LATE_ANSWER -> TimeUnit.MILLISECONDS.sleep(fault.delayMillis());
+            default -> {}
+        }
+        writeAnswer(answer);
+        switch (fault.kind()) {
+            case SECOND_ANSWER_FULL -> writeLater(FULL, fault.delayMillis());
+            case SECOND_ANSWER_ERROR -> writeLater(ERROR, fault.delayMillis());
+            case SECOND_ANSWER_SAME -> writeLater(answer, fault.delayMillis());
+            case RESET_AFTER_ANSWER -> later(this::reset, fault.delayMillis());
+            default -> {}
+        }
+        return true;
+    }
+
+    private void passOvertaken(byte[] answer, RawMessage request)
+            throws IOException, InterruptedException {
+        Overtaking overtaking = proxy.overtaking(request.subject());
+        if (request.isJob()) {
+            writeAnswer(answer);
+            overtaking.answered();
+        } else {
+            overtaking.cancelled();
+            overtaking.awaitAnswered();
+            writeAnswer(answer);
+        }
+    }
+
+    private synchronized void writeAnswer(byte[] bytes) throws IOException {
+        dispatcherSide.getOutputStream().write(bytes);
+    }
+
+    private void writeLater(byte[] bytes, long delayMillis) {
+        later(
+                () -> {
+                    try {
+                        writeAnswer(bytes);
+                    } catch (IOException e) {
+                        // The dispatcher has closed it meanwhile, as it may.
+                    }
+                },
+                delayMillis);
+    }
+
+    private void later(Runnable task, long delayMillis) {
+        try {
+            proxy.clock.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The run is over.
+        }
+    }
+
+    private static byte[] half(byte[] bytes) {
+        return Arrays.copyOf(bytes, bytes.length / 2);
+    }
+
+    /**
+     * The dispatcher's side alone: for the worker its answer has gone out, and the connection ends
+     * as usual.
+     */
+    private void resetDispatcherSide() throws IOException {
+        reset(dispatcherSide);
+        workerSide.close();
+        proxy.ended(this);
+    }
+
+    private void close() throws IOException {
+        proxy.ended(this);
+        dispatcherSide.close();
+        workerSide.close();
+    }
+
+    /** Resets both sides. */
+    void reset() {
+        proxy.ended(this);
+        reset(dispatcherSide);
+        reset(workerSide);
+    }
+
+    /** Ends a connection without its usual end. */
+    static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // Ended already; closing it does no harm.
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // Nothing is left to be closed.
+        }
+    }
+}
--- a/rig/src/main/java/postgrade/rig/load/Shops.java
+++ b/rig/src/main/java/postgrade/rig/load/Shops.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -80,6 +81,17 @@
         clock.execute(() -> perSecond = jobsPerSecond);
     }
 
+    /** Sends so many jobs at once. */
+    public void send(int jobs) throws InterruptedException, ExecutionException {
+        clock.submit(
+                        () -> {
+                            for (int i = 0; i < jobs; i++) {
+                                begin(Clock.micros());
+                            }
+                        })
+                .get();
+    }
+
     private void turn() {
         long now = Clock.micros();
         owed += perSecond * (now - last) / 1e6;
--- a/rig/src/main/java/postgrade/rig/load/Target.java
+++ b/rig/src/main/java/postgrade/rig/load/Target.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -14,6 +15,7 @@
 
     private static final int CONNECT_MS = 1000;
     private static final long IDLE_NANOS = 4_000_000_000L;
+    private static final int LOOK_MS = 1;
     private static final int MOST_LINE = 1 << 14;
 
     record Answer(int status, String body, boolean keep) {}
@@ -31,7 +33,7 @@
     /** A connection, or null where none can be had. */
     Line line() {
         for (Line l = idle.pollLast(); l != null; l = idle.pollLast()) {
-            if (System.nanoTime() - l.sinceNanos < IDLE_NANOS) {
+            if (System.nanoTime() - l.sinceNanos < IDLE_NANOS && !l.endedByPeer()) {
                 return l;
             }
             l.close();
@@ -74,6 +76,19 @@
             }
         }
 
+        /** Whether the other side has ended it meanwhile; what it says instead is its end too. */
+        boolean endedByPeer() {
+            try {
+                socket.setSoTimeout(LOOK_MS);
+                in.read();
+                return true;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+
         boolean used() {
             return used;
         }
--- a/rig/src/main/java/postgrade/rig/process/Program.java
+++ b/rig/src/main/java/postgrade/rig/process/Program.java
@@ -228,6 +228,12 @@
         signal("TERM");
     }
 
+    /** Asks it to read its configuration again. */
+    public void hangUp() throws IOException, InterruptedException {
+        history.add(name, "fault.hang-up", new JsonObject());
+        signal("HUP");
+    }
+
     private void signal(String which) throws IOException, InterruptedException {
         if (new ProcessBuilder("kill", "-" + which, Long.toString(pid())).start().waitFor() != 0
                 && alive()) {
--- a/rig/src/main/java/postgrade/rig/serve/Serving.java
+++ b/rig/src/main/java/postgrade/rig/serve/Serving.java
@@ -22,6 +22,7 @@
 import postgrade.rig.cluster.Cluster;
 import postgrade.rig.disk.Disk;
 import postgrade.rig.history.History;
+import postgrade.rig.jobs.JobProxies;
 import postgrade.rig.process.Program;
 
 /**
@@ -48,11 +49,21 @@
         public Script sharing;
         public Map<String, String> environment = new HashMap<>();
         public int fleetThreads = 2;
+
+        /** Descriptors that a dispatcher may hold; 0 for the fleet's own figure. */
+        public int sockets;
+
+        /** How many dispatchers the settings tell of; 0 for as many as there are. */
+        public int toldDispatchers;
+
+        /** A proxy stands between each dispatcher and each worker. */
+        public boolean proxied;
     }
 
     private final Options o;
     private final Path folder;
     private final Fleet fleet;
+    private final JobProxies proxies;
     private final Cluster cluster;
     private final List<String> names = new ArrayList<>();
     private final List<String> voters;
@@ -74,8 +85,15 @@
         }
         voters = names.subList(0, o.voters);
         links = Files.createTempDirectory("rig");
-        fleet = new Fleet(o.plan, folder, o.dispatchers, o.fleetThreads);
         cluster = new Cluster(folder, names, o.sharing == null ? List.of() : voters);
+        proxies = new JobProxies(cluster.history());
+        fleet =
+                new Fleet(
+                        o.plan,
+                        folder,
+                        o.dispatchers,
+                        o.fleetThreads,
+                        o.proxied ? proxies : Fleet.AddressView.DIRECT);
         for (int i = 0; i < names.size(); i++) {
             InetSocketAddress at = fleet.dispatchers().get(i);
             consumers.put(names.get(i), at);
@@ -102,6 +120,12 @@
         String name = names.get(index);
         JsonObject json = Json.parse(Files.readString(fleet.configurationOf(index))).asObject();
         json.set("operator", "127.0.0.1:" + operators.get(name).port());
+        if (o.sockets > 0) {
+            json.get("limits").asObject().set("sockets", o.sockets);
+        }
+        if (o.toldDispatchers > 0) {
+            json.get("settings").asObject().set("balancers", o.toldDispatchers);
+        }
         if (o.sharing != null) {
             Path script = cluster.folder(name).resolve("sharing.star");
             Files.writeString(script, o.sharing.of(name, cluster, voters));
@@ -147,6 +171,15 @@
         return fleet;
     }
 
+    public FleetPlan plan() {
+        return o.plan;
+    }
+
+    /** What stands before the workers; nothing passes it unless asked for by the options. */
+    public JobProxies proxies() {
+        return proxies;
+    }
+
     public Path folder() {
         return folder;
     }
@@ -274,6 +307,7 @@
     @Override
     public void close() throws IOException {
         cluster.close();
+        proxies.close();
         fleet.close();
         for (HeldPort p : operators.values()) {
             p.close();
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/soak/RandomFaults.java
@@ -0,0 +1,75 @@
+package postgrade.rig.soak;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import postgrade.rig.jobs.ExchangeFault;
+import postgrade.rig.jobs.ExchangeFault.Kind;
+import postgrade.rig.jobs.FaultChoice;
+
+/**
+ * Draws what happens to each exchange from the seed, the request and the worker, so that the same
+ * exchange meets the same fault in each run of a seed.
+ */
+final class RandomFaults implements FaultChoice {
+
+    private static final long PER_MILLE = 1000;
+
+    /** Cancellations meet fewer faults: most of them are already the answer to one. */
+    private static final double PART_FOR_CANCELLATIONS = 0.5;
+
+    private final long seed;
+    private final Map<Kind, Double> perMille;
+    private final Map<Kind, AtomicLong> met = new EnumMap<>(Kind.class);
+
+    /**
+     * @param perMille of the exchanges that carry a job, for each kind
+     */
+    RandomFaults(long seed, Map<Kind, Double> perMille) {
+        this.seed = seed;
+        this.perMille = new EnumMap<>(perMille);
+        for (Kind kind : Kind.values()) {
+            met.put(kind, new AtomicLong());
+        }
+    }
+
+    @Override
+    public ExchangeFault of(Exchange exchange) {
+        long key = exchange.subject().hashCode() * 31L + exchange.worker().hashCode();
+        SplittableRandom random =
+                new SplittableRandom(seed * 1_000_003 + key * 2 + (exchange.isJob() ? 1 : 0));
+        double left = random.nextDouble() * PER_MILLE;
+        for (Map.Entry<Kind, Double> entry : perMille.entrySet()) {
+            left -= entry.getValue() * (exchange.isJob() ? 1 : PART_FOR_CANCELLATIONS);
+            if (left < 0) {
+                met.get(entry.getKey()).incrementAndGet();
+                return new ExchangeFault(entry.getKey(), delayMillis(entry.getKey(), random));
+            }
+        }
+        return ExchangeFault.NONE;
+    }
+
+    private static long delayMillis(Kind kind, SplittableRandom random) {
+        return switch (kind) {
+            case LATE_REQUEST -> random.nextLong(20, 400);
+            case LATE_ANSWER -> random.nextLong(5, 300);
+            case RESET_AFTER_ANSWER -> random.nextLong(1, 200);
+            case SECOND_ANSWER_FULL, SECOND_ANSWER_ERROR, SECOND_ANSWER_SAME ->
+                    random.nextLong(1, 60);
+            default -> 0;
+        };
+    }
+
+    /** How many exchanges each kind has met so far, those above 0. */
+    Map<Kind, Long> counts() {
+        Map<Kind, Long> counts = new EnumMap<>(Kind.class);
+        met.forEach(
+                (kind, count) -> {
+                    if (count.get() > 0) {
+                        counts.put(kind, count.get());
+                    }
+                });
+        return counts;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/soak/Soak.java
@@ -0,0 +1,69 @@
+package postgrade.rig.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import postgrade.rig.disk.Disk;
+
+/**
+ * Runs the soak for a row of seeds: {@code --seeds N --first S [--out FOLDER] [--lenient]}. Writes
+ * a line a seed, and below it what broke a rule. Ends with 1 where a rule was broken, with 2 where
+ * it is called wrongly.
+ */
+public final class Soak {
+
+    private static final int BROKEN = 1;
+    private static final int USAGE = 2;
+
+    private int seeds = 1;
+    private long first = 1;
+    private Path out = Path.of("found", "soak");
+    private SoakLimits limits = SoakLimits.EXACT;
+
+    private Soak() {}
+
+    /** Runs it. */
+    public static void main(String[] arguments) throws Exception {
+        Soak soak = new Soak();
+        try {
+            soak.read(arguments);
+        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+            System.err.println("soak: --seeds N --first S [--out FOLDER] [--lenient]");
+            System.exit(USAGE);
+        }
+        System.exit(soak.run() ? 0 : BROKEN);
+    }
+
+    private void read(String[] arguments) {
+        for (int i = 0; i < arguments.length; i++) {
+            switch (arguments[i]) {
+                case "--seeds" -> seeds = Integer.parseInt(arguments[++i]);
+                case "--first" -> first = Long.parseLong(arguments[++i]);
+                case "--out" -> out = Path.of(arguments[++i]);
+                case "--lenient" -> limits = SoakLimits.LENIENT;
+                default -> throw new IllegalArgumentException(arguments[i]);
+            }
+        }
+    }
+
+    private boolean run() throws IOException, InterruptedException, ExecutionException {
+        int clean = 0;
+        for (long seed = first; seed < first + seeds; seed++) {
+            clean += run(seed, limits, out.resolve("seed-" + seed)).isClean() ? 1 : 0;
+        }
+        System.out.println(clean + " of " + seeds + " seeds without a broken rule");
+        return clean == seeds;
+    }
+
+    /** Runs one seed and tells of it. What it wrote stays in the folder. */
+    static SoakResult run(long seed, SoakLimits limits, Path folder)
+            throws IOException, InterruptedException, ExecutionException {
+        Files.createDirectories(folder);
+        Disk.wipe(folder);
+        SoakResult result = new SoakRun(SoakPlan.of(seed), limits, folder).run();
+        System.out.println(result.line());
+        result.violations().forEach(violation -> System.out.println("  " + violation));
+        return result;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/soak/SoakPlan.java
@@ -0,0 +1,138 @@
+package postgrade.rig.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import postgrade.rig.jobs.ExchangeFault;
+import postgrade.rig.soak.ProcessFault.Kind;
+
+/**
+ * What one run of the soak does, drawn from its seed.
+ *
+ * @param fleet the plan of the stand-in fleet, with the troubles of its workers
+ * @param jobsPerSecond over all dispatchers
+ * @param loadMillis for how long jobs are sent
+ * @param exchangeFaults per mille of the exchanges with workers
+ * @param processFaults in the order of their times
+ * @param idleClients connections that each dispatcher holds and that say nothing
+ */
+record SoakPlan(
+        long seed,
+        String fleet,
+        int dispatchers,
+        double jobsPerSecond,
+        long loadMillis,
+        Map<ExchangeFault.Kind, Double> exchangeFaults,
+        List<ProcessFault> processFaults,
+        int idleClients) {
+
+    static final long DEADLINE_MILLIS = 3000;
+
+    /** A process that was told to end may be killed no sooner after that. */
+    static final long TERM_TO_KILL_MILLIS = DEADLINE_MILLIS + 700;
+
+    private static final long LOAD_MILLIS = 12_000;
+    private static final int DISPATCHERS = 3;
+    private static final int CROWD = 600;
+
+    private static final String FLEET =
+            """
+            seed = %d
+            workers = [worker(6, "plain", cores = 6, speed = 1, queue = 12, zone = "hall-a")]
+            classes = {
+                "slot-check": work(60, sigma = 0.8, deadline_ms = %d, aim_ms = 400),
+                "route-plan": work(250, sigma = 0.8, deadline_ms = %d, aim_ms = 800),
+                "order-confirm": work(120, sigma = 0.8, deadline_ms = %d, aim_ms = 600, worth = 8, priority = 1, repeatable = False),
+            }
+            tenants = {"kvart-market": 80, "zeleni-kos": 40}
+            callbacks = call_backs(early = %.2f, twice = %.2f, late_ms = %d)
+            answer_ms = %.1f
+            faults = [%s]
+            """;
+
+    /** The plan of a seed. */
+    static SoakPlan of(long seed) {
+        SplittableRandom random = new SplittableRandom(seed * 7919 + 13);
+        Map<ExchangeFault.Kind, Double> exchangeFaults = exchangeFaults(random);
+        List<ProcessFault> processFaults = processFaults(random);
+        String fleet = fleet(seed, random);
+        int idleClients = random.nextInt(4) == 0 ? CROWD : 0;
+        return new SoakPlan(
+                seed,
+                fleet,
+                DISPATCHERS,
+                40 + random.nextInt(40),
+                LOAD_MILLIS,
+                exchangeFaults,
+                processFaults,
+                idleClients);
+    }
+
+    /** Two or three kinds are frequent in a run, all others rare. */
+    private static Map<ExchangeFault.Kind, Double> exchangeFaults(SplittableRandom random) {
+        Map<ExchangeFault.Kind, Double> perMille = new EnumMap<>(ExchangeFault.Kind.class);
+        for (ExchangeFault.Kind kind : ExchangeFault.Kind.values()) {
+            if (kind != ExchangeFault.Kind.NONE) {
+                boolean frequent = random.nextInt(5) == 0;
+                perMille.put(kind, frequent ? 20 + random.nextDouble() * 60 : 5);
+            }
+        }
+        return perMille;
+    }
+
+    private static List<ProcessFault> processFaults(SplittableRandom random) {
+        List<ProcessFault> faults = new ArrayList<>();
+        long atMillis = 1000 + random.nextLong(1000);
+        while (atMillis < LOAD_MILLIS - TERM_TO_KILL_MILLIS) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            faults.add(new ProcessFault(atMillis, kind, random.nextInt(DISPATCHERS)));
+            atMillis += 500 + random.nextLong(2500);
+        }
+        return faults;
+    }
+
+    private static String fleet(long seed, SplittableRandom random) {
+        List<String> troubles = new ArrayList<>();
+        if (random.nextInt(2) == 0) {
+            troubles.add(
+                    fault("silence", 2 + random.nextInt(4), 0.5 + random.nextDouble() * 2, 0.34));
+        }
+        if (random.nextInt(3) == 0) {
+            troubles.add(fault("pauses", 1, 8, 0.34));
+        }
+        if (random.nextInt(3) == 0) {
+            troubles.add(fault("restart", 3 + random.nextInt(3), 3, 0.34));
+        }
+        if (random.nextInt(3) == 0) {
+            troubles.add(fault("drain", 4 + random.nextInt(3), 3, 0.17));
+        }
+        if (random.nextInt(3) == 0) {
+            troubles.add(fault("fast_errors", 2, 5, 0.17));
+        }
+        return String.format(
+                Locale.ROOT,
+                FLEET,
+                seed,
+                DEADLINE_MILLIS,
+                DEADLINE_MILLIS,
+                DEADLINE_MILLIS,
+                random.nextDouble() * 0.3,
+                random.nextDouble() * 0.5,
+                random.nextInt(2) == 0 ? 0 : random.nextInt(60),
+                random.nextDouble() * 3,
+                String.join(", ", troubles));
+    }
+
+    private static String fault(String kind, double atSeconds, double lasts, double part) {
+        return String.format(
+                Locale.ROOT,
+                "fault(\"%s\", at = %.1f, lasts = %.1f, part = %.2f)",
+                kind,
+                atSeconds,
+                lasts,
+                part);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/postgrade/rig/soak/SoakRun.java
@@ -0,0 +1,227 @@
+package postgrade.rig.soak;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import postgrade.fleet.check.LedgerReader;
+import postgrade.fleet.check.LedgerReader.Line;
+import postgrade.fleet.check.RuleChecker;
+import postgrade.fleet.plan.FleetPlan;
+import postgrade.rig.load.Shops;
+import postgrade.rig.serve.Serving;
+
+/** One run of the soak: starts all of it, plays the plan, and judges the ledgers. */
+final class SoakRun {
+
+    private static final long READY_MILLIS = 240_000;
+    private static final long RESTART_PAUSE_MILLIS = 500;
+
+    private final SoakPlan plan;
+    private final SoakLimits limits;
+    private final Path folder;
+    private final RandomFaults exchangeFaults;
+
+    /** Dispatchers and times of kills that were not announced, as {@code name@micros}. */
+    private final List<Kill> kills = new ArrayList<>();
+
+    private record Kill(String dispatcher, long micros) {}
+
+    SoakRun(SoakPlan plan, SoakLimits limits, Path folder) {
+        this.plan = plan;
+        this.limits = limits;
+        this.folder = folder;
+        exchangeFaults = new RandomFaults(plan.seed(), plan.exchangeFaults());
+    }
+
+    SoakResult run() throws IOException, InterruptedException, ExecutionException {
+        long contradicted;
+        try (Serving serving = open()) {
+            serving.startAll();
+            serving.proxies().faults(exchangeFaults);
+            play(serving);
+            contradicted = contradictedEnds(serving);
+        }
+        return judge(contradicted);
+    }
+
+    private Serving open() throws IOException, InterruptedException {
+        Serving.Options options = new Serving.Options();
+        options.dispatchers = plan.dispatchers();
+        options.voters = 0;
+        options.proxied = true;
+        options.sockets = 1024;
+        options.plan = FleetPlan.of("soak.star", plan.fleet());
+        return new Serving(folder, options);
+    }
+
+    private void play(Serving serving)
+            throws IOException, InterruptedException, ExecutionException {
+        ScheduledExecutorService clock = Executors.newScheduledThreadPool(plan.dispatchers());
+        try (IdleClients idle = new IdleClients();
+                Shops shops =
+                        new Shops(
+                                serving.consumers(),
+                                kinds(serving),
+                                plan.seed(),
+                                folder.resolve("clients.ledger"))) {
+            idle.open(serving.consumers(), plan.idleClients());
+            shops.rate(plan.jobsPerSecond());
+            List<Future<?>> faults = new ArrayList<>();
+            long[] freeAtMillis = new long[plan.dispatchers()];
+            for (ProcessFault fault : plan.processFaults()) {
+                // One after another at each dispatcher: a restart takes its time.
+                long atMillis = Math.max(fault.atMillis(), freeAtMillis[fault.dispatcher()]);
+                freeAtMillis[fault.dispatcher()] = atMillis + duration(fault);
+                faults.add(
+                        clock.schedule(() -> put(serving, fault), atMillis, TimeUnit.MILLISECONDS));
+            }
+            clock.schedule(() -> {}, plan.loadMillis(), TimeUnit.MILLISECONDS).get();
+            shops.rate(0);
+            for (Future<?> fault : faults) {
+                fault.get();
+            }
+            shops.finish();
+            serving.fleet().flush();
+        } finally {
+            clock.shutdownNow();
+        }
+    }
+
+    private static long duration(ProcessFault fault) {
+        return switch (fault.kind()) {
+            case RESTART -> SoakPlan.TERM_TO_KILL_MILLIS + 3 * RESTART_PAUSE_MILLIS;
+            case KILL -> 3 * RESTART_PAUSE_MILLIS;
+            case RELOAD -> 0;
+        };
+    }
+
+    private static List<Shops.Kind> kinds(Serving serving) {
+        List<Shops.Kind> kinds = new ArrayList<>();
+        FleetPlan fleet = serving.plan();
+        fleet.classes
+                .values()
+                .forEach(
+                        jobClass ->
+                                fleet.tenants.forEach(
+                                        (tenant, rate) ->
+                                                kinds.add(
+                                                        new Shops.Kind(
+                                                                jobClass.name(),
+                                                                tenant,
+                                                                rate,
+                                                                SoakPlan.DEADLINE_MILLIS * 1000,
+                                                                jobClass.repeatable()))));
+        return kinds;
+    }
+
+    // ---- Signals.
+
+    private Void put(Serving serving, ProcessFault fault) throws IOException, InterruptedException {
+        String name = serving.names().get(fault.dispatcher());
+        switch (fault.kind()) {
+            case RESTART -> restart(serving, name);
+            case KILL -> {
+                note(name, serving.cluster().history().micros());
+                serving.cluster().of(name).kill();
+                startAgain(serving, name);
+            }
+            case RELOAD -> {
+                changeConfiguration(serving, fault.dispatcher());
+                serving.cluster().of(name).hangUp();
+            }
+        }
+        return null;
+    }
+
+    private synchronized void note(String name, long micros) {
+        kills.add(new Kill(name, micros));
+    }
+
+    /** Told to end, and killed at the page's earliest time if it has not ended by then. */
+    private static void restart(Serving serving, String name)
+            throws IOException, InterruptedException {
+        serving.cluster().of(name).terminate();
+        TimeUnit.MILLISECONDS.sleep(SoakPlan.TERM_TO_KILL_MILLIS);
+        serving.cluster().of(name).kill();
+        startAgain(serving, name);
+    }
+
+    private static void startAgain(Serving serving, String name)
+            throws IOException, InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(RESTART_PAUSE_MILLIS);
+        serving.cluster().start(name);
+        serving.awaitReady(name, READY_MILLIS);
+    }
+
+    /** Another aim for each class, which no rule depends on. */
+    private static void changeConfiguration(Serving serving, int dispatcher) throws IOException {
+        Path file = serving.fleet().configurationOf(dispatcher);
+        JsonObject configuration = Json.parse(Files.readString(file)).asObject();
+        configuration
+                .get("settings")
+                .asObject()
+                .get("classes")
+                .asArray()
+                .forEach(
+                        jobClass -> {
+                            long aim = jobClass.asObject().getLong("onTimeNs", 0);
+                            jobClass.asObject().set("onTimeNs", aim + 1_000_000);
+                        });
+        Files.writeString(file, configuration.toString());
+    }
+
+    // ---- The verdict.
+
+    private static long contradictedEnds(Serving serving) {
+        return serving.cluster().history().all().stream()
+                .filter(event -> event.kind().equals("attempt.reported-after-end"))
+                .count();
+    }
+
+    private SoakResult judge(long contradicted) throws IOException {
+        RuleChecker.Verdict verdict =
+                RuleChecker.judge(folder, limits.slackMicros(), limits.lateMicros());
+        List<Line> clients = LedgerReader.read(folder.resolve("clients.ledger"));
+        List<String> excused = clients.stream().filter(this::brokeByKill).map(Line::id).toList();
+        List<RuleChecker.Violation> violations =
+                verdict.violations.stream()
+                        .filter(
+                                violation ->
+                                        violation.rule() != RuleChecker.Rule.ONE_ANSWER
+                                                || !excused.contains(violation.id()))
+                        .toList();
+        long served =
+                clients.stream()
+                        .filter(line -> line.event().equals("answer"))
+                        .filter(line -> line.number("status") == 200)
+                        .count();
+        return new SoakResult(
+                plan,
+                verdict.requests,
+                served,
+                verdict.attempts,
+                exchangeFaults.counts(),
+                contradicted,
+                violations);
+    }
+
+    /** A request whose connection broke as its dispatcher was killed without being told to end. */
+    private boolean brokeByKill(Line line) {
+        return line.event().startsWith("broken")
+                && kills.stream()
+                        .anyMatch(
+                                kill ->
+                                        kill.dispatcher().equals(line.value("via"))
+                                                && Math.abs(kill.micros() - line.micros())
+                                                        < limits.killMicros());
+    }
+}
