End an attempt only on what names it: breaks, DELETEs and answers in doubt are settled first

Cause: a sign that does not name the attempt ended it. A DELETE that came to the worker before its job was answered, and the job taken after it; a reset before any answer may have destroyed a 202; an answer on a connection used before may be a late one of an earlier exchange. Change: provider.EndProof decides what proves an end. The answer to a DELETE counts if it was written once the worker's 202 had been read or the connection was over; a break after the last byte and an unnamed answer are doubt, given up on the wire first; a close alone counts at a worker that has said nothing since.

--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -56,6 +56,7 @@
     private final Attempt call;
     private final String fence;
     private final IntConsumer givingUp;
+    private final EndProof proof = new EndProof();
     private State state = State.OUT;
     private boolean accepted;
     private boolean reached;
@@ -64,6 +65,9 @@
     private long cancelledMicros = WireRecord.NEVER;
     private ConnectionUse connection;
 
+    /** What a doubtful answer said, until the doubt is settled. */
+    private AttemptOutcome inDoubt;
+
     /** Not null from the state {@link State#GIVING_UP} on. */
     private GiveUp giveUp;
 
@@ -149,24 +153,79 @@
     @Override
     void answered(Message response) {
         int status = response.status();
-        boolean neverRan = "1".equals(response.header("x-not-run"));
         if (status == 202) {
-            // Its end comes by a call-back, or by the answer to a DELETE under way.
-            accepted = true;
-            acceptedMicros = timers.nowMicros();
-            to(State.TAKEN);
-        } else if (status == 500 || status == 503 || status == 504) {
-            end(
-                    neverRan && status != 500 ? AttemptOutcome.FULL : AttemptOutcome.ERROR,
-                    EndEvidence.answered(status));
-        } else if (status / 100 == 4 && status != 408 && status != 429) {
-            if (over()) {
-                gateway.requestUnusable(call, EndEvidence.answered(status));
-                stopGivingUp();
-            }
+            taken();
+        } else if (!proof.answersNameIt()) {
+            // Guards against a late answer of an earlier exchange on the same connection: it says
+            // nothing of this job.
+            doubtAnswer(status, outcomeOf(response));
+        } else if (isUnusable(status)) {
+            unusable(EndEvidence.answered(status));
+        } else if (isKnownFailure(status)) {
+            end(outcomeOf(response), EndEvidence.answered(status));
         } else {
             // No answer that the protocol knows: the job may run, or may yet.
-            spoilt(AttemptOutcome.ERROR);
+            settle();
+            doubt(AttemptOutcome.ERROR);
+        }
+    }
+
+    /** Its end comes by a call-back, or by the answer to a DELETE written from now on. */
+    private void taken() {
+        accepted = true;
+        acceptedMicros = timers.nowMicros();
+        to(State.TAKEN);
+        settle();
+    }
+
+    private static boolean isKnownFailure(int status) {
+        return status == 500 || status == 503 || status == 504;
+    }
+
+    private static boolean isUnusable(int status) {
+        return status / 100 == 4 && status != 408 && status != 429;
+    }
+
+    private static AttemptOutcome outcomeOf(Message response) {
+        boolean neverRan = "1".equals(response.header("x-not-run"));
+        boolean mayBeFull = response.status() == 503 || response.status() == 504;
+        return neverRan && mayBeFull ? AttemptOutcome.FULL : AttemptOutcome.ERROR;
+    }
+
+    private void unusable(EndEvidence evidence) {
+        if (over()) {
+            gateway.requestUnusable(call, evidence);
+            stopGivingUp();
+        }
+    }
+
+    /**
+     * An answer that may be another exchange's. The job is given up before the policy hears, and
+     * the outcome holds if no further answer comes while the connection rests.
+     */
+    private void doubtAnswer(int status, AttemptOutcome outcome) {
+        inDoubt = outcome;
+        settle();
+        if (isUnusable(status)) {
+            doubt(evidence -> gateway.requestUnusable(call, evidence));
+        } else {
+            doubt(evidence -> gateway.attemptEnded(call, inDoubt, evidence));
+        }
+        if (state == State.GIVING_UP) {
+            giveUp.notBefore(timers.nowMicros() + FreeLinks.REST_MICROS);
+        }
+    }
+
+    /** What came as the answer was not the only one, so it may have been another exchange's. */
+    @Override
+    void contradicted() {
+        if (state == State.GIVING_UP) {
+            if (inDoubt == AttemptOutcome.FULL) {
+                inDoubt = AttemptOutcome.RESET;
+            }
+            proof.contradict();
+            giveUp.notBefore(timers.nowMicros()); // Its connection is over: nothing more can come.
+            giveUp.settled();
         }
     }
 
@@ -177,29 +236,35 @@
             case NEVER_WRITTEN -> end(AttemptOutcome.UNREACHABLE, EndEvidence.of(neverWritten()));
             case DRAINED -> end(AttemptOutcome.NOT_SENT, EndEvidence.of(Kind.WORKER_NOT_READY));
             case TOO_LATE -> end(AttemptOutcome.NOT_SENT, EndEvidence.of(whyLate()));
-            case AFTER_LAST_BYTE -> {
-                reached = true;
-                if (state == State.GIVING_UP) {
-                    // The connection ended before any 202.
-                    giveUp.finish(EndEvidence.of(Kind.BROKEN));
-                } else {
-                    end(AttemptOutcome.RESET, EndEvidence.of(Kind.BROKEN));
-                }
+            // A 202 may have come and gone with the connection, after which a break ends nothing.
+            case AFTER_LAST_BYTE, IN_ANSWER -> {
+                settle();
+                doubt(AttemptOutcome.RESET);
             }
-            // What came may have been a 202, after which a broken connection ends nothing.
-            case IN_ANSWER -> spoilt(AttemptOutcome.RESET);
         }
     }
 
+    /** The worker has the job, or cannot get it any more. */
+    private void settle() {
+        proof.settle();
+        if (giveUp != null) {
+            giveUp.settled();
+        }
+    }
+
+    private void doubt(AttemptOutcome as) {
+        doubt(evidence -> gateway.attemptEnded(call, as, evidence));
+    }
+
     /**
-     * What came as its answer does not tell whether the provider has taken it. Guards against a
-     * second call beside one that runs: it is given up on the wire before the module hears. One
-     * that is being given up goes on with that.
+     * What came does not tell whether the worker has taken the job. Guards against a second attempt
+     * beside one that runs: it is given up on the wire before the policy hears. One that is being
+     * given up goes on with that.
      */
-    private void spoilt(AttemptOutcome as) {
+    private void doubt(Consumer<EndEvidence> ended) {
         reached = true;
         if (to(State.GIVING_UP)) {
-            dropBy(evidence -> gateway.attemptEnded(call, as, evidence));
+            dropBy(ended);
         }
     }
 
@@ -247,6 +312,7 @@
         connection =
                 new ConnectionUse(
                         writtenMicros - carrier.upMicros, carrier.idleMicros, carrier.carried);
+        proof.written(carrier.carried);
     }
 
     private Kind neverWritten() {
@@ -289,6 +355,7 @@
                         timers,
                         pool,
                         call,
+                        proof,
                         givingUp,
                         evidence -> {
                             to(State.ENDED);
@@ -300,13 +367,19 @@
         giveUp.send();
     }
 
-    /** A close before the 202 gives up by itself. */
+    /**
+     * A close before the 202 gives up by itself. But the 202 may be on its way just then, so the
+     * close alone counts only at a worker that has said nothing since it was sent the job; from any
+     * other its answer to a DELETE is due.
+     */
     private void closeUntaken() {
         if (link != null && state == State.GIVING_UP) {
             boolean untaken = !link.answerBegan();
             link.abort();
-            if (untaken) {
+            if (untaken && !pool.heardSince(writtenMicros)) {
                 giveUp.finish(EndEvidence.of(Kind.CLOSED));
+            } else {
+                settle();
             }
         }
     }
--- a/daemon/src/main/java/postgrade/provider/GiveUp.java
+++ b/daemon/src/main/java/postgrade/provider/GiveUp.java
@@ -10,8 +10,9 @@
 import postgrade.http.MessageWriter;
 
 /**
- * DELETE of one job, again until it is answered or the job's consumer gives up. Guards against two
- * calls out: until it is answered the provider may still run the job, and the module is not told.
+ * DELETE of one job, again until one is answered that proves the end, or the job's client gives up.
+ * Guards against two attempts out: until then the worker may still run the job, or may yet take it,
+ * and the policy is not told.
  */
 final class GiveUp {
     /** How long one DELETE may take. */
@@ -28,24 +29,33 @@
     private final Timers timers;
     private final Pool pool;
     private final Attempt call;
+    private final EndProof proof;
     private final IntConsumer underWay;
     private final Consumer<EndEvidence> done;
     private Delete delete;
     private boolean finished;
+    private boolean answeredTooEarly;
+
+    /** Before this no answer proves anything: another answer to the job may still come. */
+    private long notBeforeMicros;
+
     private long pauseMicros = FIRST_PAUSE_MICROS;
 
     /**
      * @param underWay counts those that are under way
+     * @param done hears what proves the end, once
      */
     GiveUp(
             Timers timers,
             Pool pool,
             Attempt call,
+            EndProof proof,
             IntConsumer underWay,
             Consumer<EndEvidence> done) {
         this.timers = timers;
         this.pool = pool;
         this.call = call;
+        this.proof = proof;
         this.underWay = underWay;
         this.done = done;
         underWay.accept(1);
@@ -55,12 +65,28 @@
         if (finished) {
             return;
         }
+        answeredTooEarly = false;
         Delete sent = new Delete();
         delete = sent;
         timers.at(timers.nowMicros() + ANSWER_MICROS, sent::expire);
         pool.send(sent);
     }
 
+    /** No answer proves the end before then. */
+    void notBefore(long micros) {
+        notBeforeMicros = micros;
+    }
+
+    /**
+     * The worker's word or the end of the connection is known now. A DELETE that was answered
+     * before may have come to the worker before the job, so another one follows.
+     */
+    void settled() {
+        if (answeredTooEarly) {
+            send();
+        }
+    }
+
     /**
      * The call has ended otherwise: a DELETE that still waits for its connection is not written any
      * more.
@@ -88,6 +114,22 @@
         return true;
     }
 
+    private void answered(Delete answered, int status) {
+        if (finished || answered != delete) {
+            return;
+        }
+        if (!proof.isProvedBy(answered.stamp)) {
+            answeredTooEarly = true;
+            if (proof.isSettled()) {
+                send();
+            }
+        } else if (timers.nowMicros() < notBeforeMicros) {
+            timers.at(notBeforeMicros, () -> answered(answered, status));
+        } else {
+            finish(new EndEvidence(Kind.CANCEL_CONFIRMED, status));
+        }
+    }
+
     /**
      * Also after a refusal, which is no word on the job: a provider may keep no more connections,
      * or have ended its listener and still complete what it runs. That the process has died is told
@@ -107,6 +149,8 @@
     }
 
     private final class Delete extends Request {
+        private EndProof.Stamp stamp;
+
         Delete() {
             super(NONE);
         }
@@ -123,9 +167,18 @@
             return false;
         }
 
+        @Override
+        void carriedBy(Link carrier) {
+            stamp = proof.stamp();
+        }
+
         @Override
         void answered(Message response) {
-            finish(new EndEvidence(Kind.CANCEL_CONFIRMED, response.status()));
+            if (EndProof.confirmsCancellation(response)) {
+                GiveUp.this.answered(this, response.status());
+            } else {
+                again();
+            }
         }
 
         @Override
--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -44,6 +44,10 @@
     final MessageParser parser = MessageParser.ofResponses();
     Connection connection;
     Request request;
+
+    /** The last one that was answered here, until the next is carried. */
+    private Request answered;
+
     Timers.Timer timer;
     private State state = State.CONNECTING;
     private boolean spoilt;
@@ -77,6 +81,7 @@
     void carry(Request r) {
         to(State.CARRYING);
         request = r;
+        answered = null;
         r.link = this;
         r.carriedBy(this);
         carried++;
@@ -91,21 +96,38 @@
 
     @Override
     public void received(Connection c, ByteBuffer bytes) throws BadMessage {
+        pool.heard();
         if (request == null) {
-            fail(); // Guards the next request: bytes that nobody asked for would be taken for its
-            // response.
+            unaskedFor();
             return;
         }
         Message response = parser.parse(bytes);
         if (response != null) {
-            finish(response, bytes.hasRemaining());
+            finish(response, false, bytes.hasRemaining());
         }
     }
 
-    private void finish(Message response, boolean more) {
+    /**
+     * Guards the next request: bytes that nobody asked for would be taken for its response. The
+     * last one may have had another's.
+     */
+    private void unaskedFor() {
+        Request last = answered;
+        fail();
+        if (last != null) {
+            last.contradicted();
+        }
+    }
+
+    /**
+     * @param ends whether the connection ends with it
+     * @param more whether bytes follow that nobody asked for
+     */
+    private void finish(Message response, boolean ends, boolean more) {
         Request done = request;
         request = null;
-        if (more || !response.keepsAlive() || !connection.allSent()) {
+        answered = done;
+        if (ends || more || !response.keepsAlive() || !connection.allSent()) {
             close();
         } else {
             pool.answered(this);
@@ -113,13 +135,16 @@
         done.link = null;
         done.over = true;
         done.answered(response);
+        if (more) {
+            done.contradicted();
+        }
     }
 
     @Override
     public void ended(Connection c) {
         Message response = parser.atEnd();
         if (response != null && request != null) {
-            finish(response, true);
+            finish(response, true, false);
         }
     }
 
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -41,6 +41,7 @@
     private int connecting;
     private int fresh;
     private int up;
+    private long heardMicros = Long.MIN_VALUE;
 
     /** Runs once the first of those that rest has rested; null unless something waits for it. */
     private Timers.Timer wake;
@@ -277,6 +278,16 @@
         }
     }
 
+    /** The worker has said something, on any connection. */
+    void heard() {
+        heardMicros = timers.nowMicros();
+    }
+
+    /** Whether the worker has said anything in that turn or later. */
+    boolean heardSince(long micros) {
+        return heardMicros >= micros;
+    }
+
     /** A link has broken under a request that the provider has not answered. */
     void brokeAfterIdle(long idleMicros) {
         keepAlive.broke(timers.nowMicros(), idleMicros);
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -62,6 +62,9 @@
 
     abstract void broken(Break how);
 
+    /** After its answer something more has come, before its connection carried another request. */
+    void contradicted() {}
+
     /** Its last byte has been given to the system. */
     boolean written() {
         return link != null && link.connection.allSent();
--- a/daemon/src/test/java/postgrade/daemon/AttemptStage.java
+++ b/daemon/src/test/java/postgrade/daemon/AttemptStage.java
@@ -1,6 +1,7 @@
 package postgrade.daemon;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -179,6 +180,17 @@
         return worker;
     }
 
+    /**
+     * The first worker is asked to drop the job on a new connection, says that it has and ends the
+     * connection.
+     */
+    void confirmsCancellation(String id) throws IOException {
+        Peer.Arrived delete = request(one);
+        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/" + id + " "));
+        hand.heard(() -> delete.reply("200 OK\r\nConnection: close", ""));
+        turn();
+    }
+
     /** The worker says this, and it is read before the turn goes on. */
     void says(Socket worker, String text) throws IOException {
         hand.heard(() -> Peer.write(worker, text));
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/EndProofTest.java
@@ -0,0 +1,230 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Test;
+import postgrade.daemon.Peer.Arrived;
+import postgrade.dispatch.ReportedState;
+
+/**
+ * An attempt has ended only when something says so that names it. Each sign that does not is here,
+ * with what the worker is asked before the policy hears.
+ */
+public class EndProofTest extends AttemptStage {
+
+    private static final String FULL = answer("503 Full\r\nX-Not-Run: 1");
+
+    public EndProofTest() throws IOException {}
+
+    private static String answer(String status) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private Arrived delete(Socket on, String id) throws IOException {
+        Arrived delete = request(on);
+        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/" + id + " "));
+        return delete;
+    }
+
+    private void confirms(Arrived delete) throws IOException {
+        hand.heard(() -> delete.reply("204 No Content", ""));
+        turn();
+    }
+
+    private void breaks(Socket worker) throws IOException {
+        hand.heard(
+                () -> {
+                    worker.setSoLinger(true, 0);
+                    worker.close();
+                });
+        turn();
+    }
+
+    /** The connections of jobs that were served before, which have rested since. */
+    private List<Socket> usedBefore(String... ids) throws IOException {
+        List<Socket> workers = new ArrayList<>();
+        for (String id : ids) {
+            workers.add(untaken(id));
+        }
+        for (int i = 0; i < ids.length; i++) {
+            says(workers.get(i), TAKEN);
+            reports(ids[i], "w1", ReportedState.DONE);
+        }
+        turn();
+        pass(20 * MILLI);
+        script.heard.clear();
+        answers.clear();
+        return workers;
+    }
+
+    private Socket usedBefore(String id) throws IOException {
+        return usedBefore(new String[] {id}).get(0);
+    }
+
+    private Socket sentOn(Socket worker, String id) throws IOException {
+        open(id);
+        turn();
+        assertEquals(id, request(worker).header("X-Request-Id"));
+        return worker;
+    }
+
+    @Test
+    public void aResetBeforeAnyAnswerIsFollowedByADelete() throws Exception {
+        Socket worker = untaken("a1");
+        breaks(worker);
+        hasHeard();
+        confirmsCancellation("a1");
+        hasHeard("finished a1 0 RESET false");
+    }
+
+    @Test
+    public void soIsAnOrderlyEndBeforeAnyAnswer() throws Exception {
+        Socket worker = untaken("a2");
+        hand.heard(worker::close);
+        turn();
+        hasHeard();
+        confirmsCancellation("a2");
+        hasHeard("finished a2 0 RESET false");
+    }
+
+    /** The 202 went with the connection, and the job runs. */
+    @Test
+    public void aCallBackAfterAResetIsTheJobsEnd() throws Exception {
+        Socket worker = untaken("a3");
+        breaks(worker);
+        delete(accept(one), "a3");
+        reports("a3", "w1", ReportedState.STARTED);
+        reports("a3", "w1", ReportedState.DONE);
+        turn();
+        hasHeard("finished a3 0 SERVED true");
+        assertTrue(pools.quiet());
+    }
+
+    @Test
+    public void anAnswerOnANewConnectionIsTheJobs() throws Exception {
+        Socket worker = untaken("b1");
+        says(worker, FULL);
+        turn();
+        hasHeard("finished b1 0 FULL false");
+    }
+
+    @Test
+    public void anAnswerOnAConnectionUsedBeforeHoldsOnceADeleteIsAnswered() throws Exception {
+        Socket worker = sentOn(usedBefore("c0"), "c1");
+        says(worker, FULL);
+        turn();
+        pass(20 * MILLI - 1);
+        hasHeard();
+        pass(1);
+        confirms(delete(worker, "c1"));
+        hasHeard("finished c1 0 FULL false");
+    }
+
+    @Test
+    public void andNothingHasFollowedWhileTheConnectionRests() throws Exception {
+        List<Socket> workers = usedBefore("c2", "c3");
+        sentOn(workers.get(1), "c4");
+        says(workers.get(1), FULL);
+        turn();
+        confirms(delete(workers.get(0), "c4"));
+        pass(20 * MILLI - 1);
+        hasHeard();
+        pass(1);
+        hasHeard("finished c4 0 FULL false");
+    }
+
+    /** It was the exchange before's: the worker has the job, and may have begun it. */
+    @Test
+    public void anAnswerThatAnotherFollowsIsNotBelieved() throws Exception {
+        List<Socket> workers = usedBefore("d0", "d1");
+        sentOn(workers.get(1), "d2");
+        says(workers.get(1), FULL);
+        turn();
+        Arrived first = delete(workers.get(0), "d2");
+        says(workers.get(1), TAKEN);
+        turn();
+        confirms(first);
+        pass(20 * MILLI);
+        hasHeard();
+        confirms(delete(workers.get(0), "d2"));
+        hasHeard("finished d2 0 RESET false");
+    }
+
+    @Test
+    public void norIsOneThatAnotherFollowsAtOnce() throws Exception {
+        Socket worker = sentOn(usedBefore("e0"), "e1");
+        says(worker, FULL + TAKEN);
+        turn();
+        hasHeard();
+        confirms(delete(accept(one), "e1"));
+        hasHeard("finished e1 0 RESET false");
+    }
+
+    @Test
+    public void aRequestThatAWorkerCannotUseIsDroppedThereFirstOnAConnectionUsedBefore()
+            throws Exception {
+        Socket worker = sentOn(usedBefore("f0"), "f1");
+        says(worker, answer("400 Bad"));
+        turn();
+        assertEquals(List.of(), answers);
+        pass(20 * MILLI);
+        confirms(delete(worker, "f1"));
+        hasHeard("finished f1 0 CANCELLED true");
+        assertEquals(List.of("f1 failed"), answers);
+    }
+
+    /** Another exchange's answer, or the refusal to drop the job. */
+    @Test
+    public void anAnswerToADeleteThatIsNoneHasItSentAgain() throws Exception {
+        for (String status : List.of("202 Accepted", "500 Error", "503 Busy", "409 Conflict")) {
+            String id = "g" + status.substring(0, 3);
+            script.heard.clear();
+            Socket worker = untaken(id);
+            breaks(worker);
+            Arrived refused = delete(accept(one), id);
+            hand.heard(() -> refused.reply(status, ""));
+            turn();
+            pass(50 * MILLI);
+            hasHeard();
+            confirms(delete(refused.socket(), id));
+            hasHeard("finished " + id + " 0 RESET false");
+            pools.list(true, List.of());
+            list(target("w1", one, true));
+        }
+    }
+
+    /** What it does not know it does not run, and cannot get any more. */
+    @Test
+    public void aWorkerThatDoesNotKnowTheJobHasDroppedIt() throws Exception {
+        Socket worker = untaken("h1");
+        breaks(worker);
+        Arrived delete = delete(accept(one), "h1");
+        hand.heard(() -> delete.reply("404 Unknown", ""));
+        turn();
+        hasHeard("finished h1 0 RESET false");
+    }
+
+    /** Its 202 may be on its way just then: it speaks, on other connections. */
+    @Test
+    public void aCloseBeforeTheAnswerIsNotEnoughAtAWorkerThatHasSpokenSince() throws Exception {
+        Socket other = untaken("i0");
+        Socket worker = untaken("i1");
+        pass(1);
+        says(other, TAKEN);
+        script.out.cancelAttempt("i1", 0);
+        turn();
+        pass(20 * MILLI);
+        confirms(delete(other, "i1"));
+        hasHeard();
+        pass(80 * MILLI);
+        assertEquals("closed", -1, worker.getInputStream().read());
+        hasHeard();
+        confirms(delete(other, "i1"));
+        hasHeard("finished i1 0 CANCELLED false");
+    }
+}
--- a/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/GiveUpCrossingTest.java
@@ -42,6 +42,13 @@
         hasHeard(end);
     }
 
+    /** It came before the job, or its connection's end, was known: the worker may have it since. */
+    private void provesNothing(Arrived delete) throws IOException {
+        hand.heard(() -> delete.reply("200 OK", ""));
+        turn();
+        hasHeard();
+    }
+
     /**
      * With it the job runs: it counted as given up 100 ms on, whether or not the DELETE had
      * arrived.
@@ -53,7 +60,8 @@
         Arrived delete = delete(accept(one));
         says(job.socket(), TAKEN);
         pass(200 * MILLI);
-        isGivenUpBy(delete, "finished x1 0 CANCELLED false");
+        provesNothing(delete);
+        isGivenUpBy(delete(job.socket()), "finished x1 0 CANCELLED false");
     }
 
     @Test
@@ -63,7 +71,9 @@
         cancel("x2");
         Arrived delete = delete(accept(one));
         pass(200 * MILLI);
-        isGivenUpBy(delete, "finished x2 0 CANCELLED false");
+        provesNothing(delete);
+        pass(20 * MILLI);
+        isGivenUpBy(delete(delete.socket()), "finished x2 0 CANCELLED false");
     }
 
     @Test
@@ -78,14 +88,18 @@
         assertEquals("closed", -1, job.socket().getInputStream().read());
     }
 
+    /** It counted as its word that it had dropped the job, though a 202 may have gone with it. */
     @Test
-    public void aWorkerThatClosesBeforeItsAnswerHasDroppedIt() throws Exception {
+    public void aConnectionThatEndsBeforeItsAnswerIsNoWordOfTheWorkers() throws Exception {
         Arrived job = sent("x4");
         cancel("x4");
-        delete(accept(one));
+        Arrived delete = delete(accept(one));
         hand.heard(() -> job.socket().close());
         turn();
-        hasHeard("finished x4 0 CANCELLED false");
+        hasHeard();
+        provesNothing(delete);
+        pass(20 * MILLI);
+        isGivenUpBy(delete(delete.socket()), "finished x4 0 CANCELLED false");
     }
 
     /**
@@ -157,7 +171,9 @@
         Arrived delete = delete(accept(one));
         says(job.socket(), "HTTP/1.1 502 Unknown\r\nContent-Length: 0\r\n\r\n");
         turn();
-        isGivenUpBy(delete, "finished v1 0 CANCELLED false");
+        provesNothing(delete);
+        pass(20 * MILLI);
+        isGivenUpBy(delete(delete.socket()), "finished v1 0 CANCELLED false");
     }
 
     /** It is none: the real one follows, and decides. */
--- a/daemon/src/test/java/postgrade/daemon/LateDialTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LateDialTest.java
@@ -131,6 +131,7 @@
         first.setSoLinger(true, 0);
         hand.heard(first::close);
         turn();
+        confirmsCancellation("k1");
         script.out.startAttempt("k1", "w2", 0, 100 * MILLI * 1000);
         turn();
         Socket second = accept(two);
--- a/daemon/src/test/java/postgrade/daemon/LateWordTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LateWordTest.java
@@ -40,26 +40,59 @@
         assertEquals("nor on a connection of its own", 1, hand.open());
     }
 
-    /** Nothing reads it any more: it would be taken for that of the next attempt. */
-    @Test
-    public void a202BehindTheAnsweredDeleteFindsItsConnectionClosed() throws Exception {
-        Socket worker = untaken("b");
-        script.out.cancelAttempt("b", 0);
+    private Arrived delete(Socket on, String id) throws IOException {
+        Arrived delete = request(on);
+        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/" + id + " "));
+        return delete;
+    }
+
+    /** A DELETE that comes before its job, and is answered. */
+    private Arrived overtaking(String id) throws IOException {
+        script.out.cancelAttempt(id, 0);
         turn();
-        Arrived delete = request(one);
-        assertTrue(delete.head(), delete.head().startsWith("DELETE /jobs/b "));
+        Arrived delete = delete(accept(one), id);
         hand.heard(() -> delete.reply("200 OK", ""));
         turn();
-        hasHeard("finished b 0 CANCELLED false");
+        hasHeard();
+        return delete;
+    }
+
+    /** Nothing reads it any more: it would be taken for that of the next attempt. */
+    @Test
+    public void a202LongBehindTheAnsweredDeleteFindsItsConnectionClosed() throws Exception {
+        Socket worker = untaken("b");
+        Arrived first = overtaking("b");
+        pass(99 * MILLI);
+        hasHeard();
+        pass(1 * MILLI);
         assertEquals("the one of the DELETE is left", 1, hand.open());
         assertEquals(-1, worker.getInputStream().read());
+        hasHeard();
+        Arrived second = delete(first.socket(), "b");
+        hand.heard(() -> second.reply("200 OK", ""));
+        turn();
+        hasHeard("finished b 0 CANCELLED false");
         pass(20 * MILLI);
         script.out.startAttempt("b", "w1", 0);
         turn();
-        assertEquals("b", request(delete.socket()).header("X-Request-Id"));
+        assertEquals("b", request(first.socket()).header("X-Request-Id"));
         assertEquals(1, ends().size());
     }
 
+    /** The first one's answer ended the attempt: the job ran, beside the next attempt. */
+    @Test
+    public void a202RightBehindTheAnsweredDeleteHasAnotherDeleteFollow() throws Exception {
+        Socket worker = untaken("d");
+        overtaking("d");
+        says(worker, TAKEN);
+        pass(20 * MILLI);
+        hasHeard();
+        Arrived second = delete(worker, "d");
+        hand.heard(() -> second.reply("200 OK", ""));
+        turn();
+        hasHeard("finished d 0 CANCELLED false");
+    }
+
     /**
      * The worker has taken the job: its connection is of no meaning to it, and only a call-back
      * tells of its end.
--- a/daemon/src/test/java/postgrade/daemon/LearntIdleTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LearntIdleTest.java
@@ -27,6 +27,7 @@
         assertEquals("b", request(former).header("X-Request-Id"));
         hand.heard(former::close);
         turn();
+        confirmsCancellation("b");
         assertEquals("finished b 0 RESET false", ends().get(1));
     }
 
--- a/daemon/src/test/java/postgrade/daemon/LeavingTest.java
+++ b/daemon/src/test/java/postgrade/daemon/LeavingTest.java
@@ -96,7 +96,12 @@
                         }
                     };
             Turns.post(client, "r1");
-            one.next(ATTEMPT).reply("503 Full\r\nX-Not-Run: 1", "");
+            Peer.Arrived attempt = one.next(ATTEMPT);
+            attempt.reply("503 Full\r\nX-Not-Run: 1", "");
+            if (way != WAYS.get(0)) {
+                // The connection has carried others, whose late answer this may be.
+                one.next("DELETE /jobs/r1 ").reply("200 OK", "");
+            }
             turns.script.hears("job r1");
             turns.script.hears("finished r1 0 FULL false");
             turns.script.hears("abandoned r1");
--- a/daemon/src/test/java/postgrade/daemon/StoriesTest.java
+++ b/daemon/src/test/java/postgrade/daemon/StoriesTest.java
@@ -95,6 +95,8 @@
         serve(server("w1", one.address(), "ready"), server("w2", one.address(), "ready"));
         Socket consumer = post("c1", "confirm", "15000m");
         one.next("POST").breakOff();
+        // Its worker may have taken it all the same, and is asked to drop it first.
+        one.next("DELETE /jobs/c1 ").reply("200 OK", "");
         assertEquals(502, Peer.read(consumer).status());
         assertTrue(one.nothingArrived());
     }
@@ -127,9 +129,13 @@
         };
         for (int i = 0; i < stories.length; i++) {
             Socket consumer = post("j" + i, "price", "15000m");
-            one.next("POST").reply(stories[i][0], "");
+            Arrived job = one.next("POST");
+            job.reply(stories[i][0], "");
             if (stories[i].length == 3) {
                 callBack("j" + i, "w1", stories[i][1]);
+            } else if (i > 0) {
+                // The connection has carried others, whose late answer this may be.
+                one.next("DELETE /jobs/j" + i + " ").reply("200 OK", "");
             }
             script.hears("job j" + i);
             script.hears("finished j" + i + " 0 " + stories[i][stories[i].length - 1] + " false");
@@ -656,6 +662,7 @@
         post(consumer, "v3", "confirm", "15000m");
         Arrived broken = one.next("POST");
         broken.breakOff();
+        one.next("DELETE /jobs/v3 ").reply("200 OK", "");
         assertEquals("it may have run", 502, Peer.read(consumer).status());
         post(other, "v4", "confirm", "15000m");
         Arrived fresh = one.next("POST");
--- a/daemon/src/test/java/postgrade/daemon/UnsentTest.java
+++ b/daemon/src/test/java/postgrade/daemon/UnsentTest.java
@@ -91,6 +91,7 @@
         one.next("DELETE /jobs/s1 ").reply("200 OK", "");
         consumer = post("s2", "confirm", "15000m");
         one.next("POST").breakOff();
+        one.next("DELETE /jobs/s2 ").reply("200 OK", "");
         script.hearsAmongOthers("job s1");
         script.hearsAmongOthers("finished s1 0 TIMEOUT false");
         script.hearsAmongOthers("job s2");
