Believe 'never ran' only of an answer shown to be the job's own, by a DELETE behind it

Change: the DELETE after an answer in doubt follows the job on its own connection, once that has rested; answers come in order, so its answer shows that the job's was given before. Otherwise, or where the job was reported started, it may have run. The stand-in worker answers in order.

--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -187,12 +187,14 @@
         switch (state) {
             case STARTED -> {
                 attempt.started(timers.nowMicros());
+                attempt.handle().startedByReport();
                 lifecycle.notifyPolicy(request, nowNs -> policy.attemptStarted(nowNs, id, number));
             }
-            case RUNNING ->
-                    lifecycle.notifyPolicy(
-                            request,
-                            nowNs -> policy.attemptProgressed(nowNs, id, number, shareDone));
+            case RUNNING -> {
+                attempt.handle().startedByReport();
+                lifecycle.notifyPolicy(
+                        request, nowNs -> policy.attemptProgressed(nowNs, id, number, shareDone));
+            }
             case DONE, FAILED, RETURNED, LOST -> endByReport(attempt, state, result);
         }
         return true;
--- a/core/src/main/java/postgrade/dispatch/WorkerTransport.java
+++ b/core/src/main/java/postgrade/dispatch/WorkerTransport.java
@@ -27,6 +27,9 @@
         /** The attempt has ended by a call-back, and nothing is to be cancelled. */
         void endedByReport();
 
+        /** A call-back has told that the job has started: it cannot be said to have never run. */
+        void startedByReport();
+
         /** Whether its last byte has been given to the system, so that the worker may run it. */
         boolean isWritten();
 
--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -60,6 +60,7 @@
     private State state = State.OUT;
     private boolean accepted;
     private boolean reached;
+    private boolean reportedStart;
     private long writtenMicros = WireRecord.NEVER;
     private long acceptedMicros = WireRecord.NEVER;
     private long cancelledMicros = WireRecord.NEVER;
@@ -200,35 +201,48 @@
     }
 
     /**
-     * An answer that may be another exchange's. The job is given up before the policy hears, and
-     * the outcome holds if no further answer comes while the connection rests.
+     * An answer that may be another exchange's. The job is given up before the policy hears, by a
+     * DELETE behind it on the same connection, as long as that is open.
      */
     private void doubtAnswer(int status, AttemptOutcome outcome) {
         inDoubt = outcome;
-        settle();
-        if (isUnusable(status)) {
-            doubt(evidence -> gateway.requestUnusable(call, evidence));
-        } else {
-            doubt(evidence -> gateway.attemptEnded(call, inDoubt, evidence));
+        if (answeredOn == null) {
+            settle();
         }
         if (state == State.GIVING_UP) {
-            giveUp.notBefore(timers.nowMicros() + FreeLinks.REST_MICROS);
+            if (answeredOn != null) {
+                giveUp.sendInOrder(answeredOn);
+            }
+        } else if (isUnusable(status)) {
+            doubt(evidence -> gateway.requestUnusable(call, evidence), answeredOn);
+        } else {
+            doubt(evidence -> gateway.attemptEnded(call, outcomeInDoubt(), evidence), answeredOn);
         }
     }
 
+    /**
+     * Guards what must not run twice: that a job never ran is believed only where its answer was
+     * shown to be its own, and nothing has said that it began.
+     */
+    private AttemptOutcome outcomeInDoubt() {
+        boolean believed = giveUp.wasProvedInOrder() && !reportedStart;
+        return inDoubt == AttemptOutcome.FULL && !believed ? AttemptOutcome.RESET : inDoubt;
+    }
+
     /** What came as the answer was not the only one, so it may have been another exchange's. */
     @Override
     void contradicted() {
         if (state == State.GIVING_UP) {
-            if (inDoubt == AttemptOutcome.FULL) {
-                inDoubt = AttemptOutcome.RESET;
-            }
             proof.contradict();
-            giveUp.notBefore(timers.nowMicros()); // Its connection is over: nothing more can come.
             giveUp.settled();
         }
     }
 
+    @Override
+    public void startedByReport() {
+        reportedStart = true;
+    }
+
     @Override
     void broken(Break how) {
         switch (how) {
@@ -253,7 +267,7 @@
     }
 
     private void doubt(AttemptOutcome as) {
-        doubt(evidence -> gateway.attemptEnded(call, as, evidence));
+        doubt(evidence -> gateway.attemptEnded(call, as, evidence), null);
     }
 
     /**
@@ -261,10 +275,10 @@
      * beside one that runs: it is given up on the wire before the policy hears. One that is being
      * given up goes on with that.
      */
-    private void doubt(Consumer<EndEvidence> ended) {
+    private void doubt(Consumer<EndEvidence> ended, Link behind) {
         reached = true;
         if (to(State.GIVING_UP)) {
-            dropBy(ended);
+            dropBy(ended, behind);
         }
     }
 
@@ -340,7 +354,7 @@
         }
         to(State.GIVING_UP);
         reached = true;
-        dropBy(done);
+        dropBy(done, null);
         if (link != null) {
             // Guards against a 202 that crosses: with it the job runs, and only the answer to the
             // DELETE ends that.
@@ -348,7 +362,10 @@
         }
     }
 
-    private void dropBy(Consumer<EndEvidence> done) {
+    /**
+     * @param behind the link on which the DELETE is to follow the job, or null for any
+     */
+    private void dropBy(Consumer<EndEvidence> done, Link behind) {
         cancelledMicros = timers.nowMicros();
         giveUp =
                 new GiveUp(
@@ -364,7 +381,11 @@
                                 link.abort(); // Nothing is awaited on it any more.
                             }
                         });
-        giveUp.send();
+        if (behind != null) {
+            giveUp.sendInOrder(behind);
+        } else {
+            giveUp.send();
+        }
     }
 
     /**
--- a/daemon/src/main/java/postgrade/provider/EndProof.java
+++ b/daemon/src/main/java/postgrade/provider/EndProof.java
@@ -9,8 +9,9 @@
  * <p>A worker may still take the job as long as its bytes are on their way, so the answer to a
  * DELETE proves nothing by itself: the DELETE may have come before the job. It proves the end if it
  * was written once the job could not come any more: its worker had said that it has it, or its
- * connection was over. An answer on a connection that has carried other requests may be a late one
- * of an earlier exchange, and a reset may have destroyed a 202 that had come; both are doubt.
+ * connection was over, or if it followed the job on its own connection. An answer on a connection
+ * that has carried other requests may be a late one of an earlier exchange, and a reset may have
+ * destroyed a 202 that had come; both are doubt.
  */
 final class EndProof {
 
@@ -58,6 +59,11 @@
         return new Stamp(settled, epoch);
     }
 
+    /** The same for one that follows the job on its own connection: it cannot come before it. */
+    Stamp stampInOrder() {
+        return new Stamp(true, epoch);
+    }
+
     /** Whether the answer to a DELETE with this stamp proves the end. */
     boolean isProvedBy(Stamp stamp) {
         return stamp.settled && stamp.epoch == epoch;
--- a/daemon/src/main/java/postgrade/provider/GiveUp.java
+++ b/daemon/src/main/java/postgrade/provider/GiveUp.java
@@ -32,12 +32,13 @@
     private final EndProof proof;
     private final IntConsumer underWay;
     private final Consumer<EndEvidence> done;
+
+    /** The latest. */
     private Delete delete;
+
     private boolean finished;
     private boolean answeredTooEarly;
-
-    /** Before this no answer proves anything: another answer to the job may still come. */
-    private long notBeforeMicros;
+    private boolean provedInOrder;
 
     private long pauseMicros = FIRST_PAUSE_MICROS;
 
@@ -65,16 +66,31 @@
         if (finished) {
             return;
         }
+        pool.send(next(false));
+    }
+
+    /**
+     * Sends one behind the job, on the connection on which an answer has come that may be another
+     * exchange's. Answers come in order, so the one to the DELETE shows that the job had been
+     * answered before; another first shows that it had not.
+     */
+    void sendInOrder(Link link) {
+        if (!finished) {
+            pool.sendAfterRest(link, next(true));
+        }
+    }
+
+    private Delete next(boolean inOrder) {
         answeredTooEarly = false;
-        Delete sent = new Delete();
+        Delete sent = new Delete(inOrder);
         delete = sent;
         timers.at(timers.nowMicros() + ANSWER_MICROS, sent::expire);
-        pool.send(sent);
+        return sent;
     }
 
-    /** No answer proves the end before then. */
-    void notBefore(long micros) {
-        notBeforeMicros = micros;
+    /** Whether the end was proved by a DELETE that followed the job on its connection. */
+    boolean wasProvedInOrder() {
+        return provedInOrder;
     }
 
     /**
@@ -114,19 +130,18 @@
         return true;
     }
 
-    private void answered(Delete answered, int status) {
+    private void confirmed(Delete answered, int status) {
         if (finished || answered != delete) {
             return;
         }
-        if (!proof.isProvedBy(answered.stamp)) {
-            answeredTooEarly = true;
-            if (proof.isSettled()) {
-                send();
-            }
-        } else if (timers.nowMicros() < notBeforeMicros) {
-            timers.at(notBeforeMicros, () -> answered(answered, status));
-        } else {
+        if (proof.isProvedBy(answered.stamp)) {
+            provedInOrder = answered.inOrder;
             finish(new EndEvidence(Kind.CANCEL_CONFIRMED, status));
+            return;
+        }
+        answeredTooEarly = true;
+        if (proof.isSettled()) {
+            send();
         }
     }
 
@@ -149,10 +164,12 @@
     }
 
     private final class Delete extends Request {
+        private final boolean inOrder;
         private EndProof.Stamp stamp;
 
-        Delete() {
+        Delete(boolean inOrder) {
             super(NONE);
+            this.inOrder = inOrder;
         }
 
         @Override
@@ -169,23 +186,32 @@
 
         @Override
         void carriedBy(Link carrier) {
-            stamp = proof.stamp();
+            stamp = inOrder ? proof.stampInOrder() : proof.stamp();
         }
 
         @Override
         void answered(Message response) {
             if (EndProof.confirmsCancellation(response)) {
-                GiveUp.this.answered(this, response.status());
+                confirmed(this, response.status());
             } else {
+                orderBroken();
                 again();
             }
         }
 
         @Override
         void broken(Break how) {
+            orderBroken();
             again();
         }
 
+        /** The job's own answer may have been lost, or has come only now. */
+        private void orderBroken() {
+            if (inOrder) {
+                proof.contradict();
+            }
+        }
+
         void expire() {
             if (!over) {
                 if (link == null) {
@@ -193,6 +219,7 @@
                 } else {
                     link.abort();
                 }
+                orderBroken();
                 again();
             }
         }
--- a/daemon/src/main/java/postgrade/provider/Link.java
+++ b/daemon/src/main/java/postgrade/provider/Link.java
@@ -48,6 +48,9 @@
     /** The last one that was answered here, until the next is carried. */
     private Request answered;
 
+    /** What it is to carry next, once it has rested; null unless it is kept for one. */
+    Request reservedFor;
+
     Timers.Timer timer;
     private State state = State.CONNECTING;
     private boolean spoilt;
@@ -82,6 +85,7 @@
         to(State.CARRYING);
         request = r;
         answered = null;
+        reservedFor = null;
         r.link = this;
         r.carriedBy(this);
         carried++;
@@ -134,6 +138,7 @@
         }
         done.link = null;
         done.over = true;
+        done.answeredOn = state == State.RESTING ? this : null;
         done.answered(response);
         if (more) {
             done.contradicted();
@@ -166,6 +171,12 @@
         }
         boolean written = connection.allSent();
         close();
+        Request next = reservedFor;
+        reservedFor = null;
+        if (next != null) {
+            next.over = true;
+            next.broken(Request.Break.NEVER_WRITTEN);
+        }
         Request lost = request;
         request = null;
         if (lost != null) {
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -104,6 +104,27 @@
         }
     }
 
+    /**
+     * Sends the request on this link and no other, once that has rested: whoever answers in order
+     * has then answered all that the link has carried before.
+     */
+    void sendAfterRest(Link link, Request r) {
+        free.remove(link);
+        link.reservedFor = r;
+        if (lacksOne()) {
+            timers.at(timers.nowMicros(), this::replace); // What has waited for it needs another.
+        }
+        timers.at(
+                link.freeMicros + FreeLinks.REST_MICROS,
+                () -> {
+                    if (link.reservedFor == r && link.state() == Link.State.RESTING) {
+                        link.to(Link.State.IDLE);
+                        link.timer.cancel();
+                        link.carry(r);
+                    }
+                });
+    }
+
     /** A connection is up, in use or not, or on its way. */
     boolean connected() {
         return up + connecting > 0;
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -41,6 +41,9 @@
                 @Override
                 public void endedByReport() {}
 
+                @Override
+                public void startedByReport() {}
+
                 @Override
                 public boolean isWritten() {
                     return false;
--- a/daemon/src/main/java/postgrade/provider/Request.java
+++ b/daemon/src/main/java/postgrade/provider/Request.java
@@ -26,6 +26,9 @@
     /** The link that carries it, null while it waits for one and after its end. */
     Link link;
 
+    /** The link on which its answer has come, if that is still open; null before. */
+    Link answeredOn;
+
     boolean over;
 
     Request(byte[] body) {
--- a/daemon/src/test/java/postgrade/daemon/EndProofTest.java
+++ b/daemon/src/test/java/postgrade/daemon/EndProofTest.java
@@ -113,46 +113,78 @@
         hasHeard("finished b1 0 FULL false");
     }
 
+    /** Answers come in order: that to the DELETE shows that the job had been answered before. */
     @Test
-    public void anAnswerOnAConnectionUsedBeforeHoldsOnceADeleteIsAnswered() throws Exception {
-        Socket worker = sentOn(usedBefore("c0"), "c1");
-        says(worker, FULL);
+    public void anAnswerOnAConnectionUsedBeforeHoldsOnceADeleteBehindItIsAnswered()
+            throws Exception {
+        List<Socket> workers = usedBefore("c0", "c1");
+        sentOn(workers.get(1), "c2");
+        says(workers.get(1), FULL);
         turn();
         pass(20 * MILLI - 1);
+        assertEquals("nothing on the other connection", 0, available(workers.get(0)));
         hasHeard();
         pass(1);
-        confirms(delete(worker, "c1"));
-        hasHeard("finished c1 0 FULL false");
+        confirms(delete(workers.get(1), "c2"));
+        hasHeard("finished c2 0 FULL false");
     }
 
+    /** It was the exchange before's: the worker has the job, and may have begun it. */
     @Test
-    public void andNothingHasFollowedWhileTheConnectionRests() throws Exception {
-        List<Socket> workers = usedBefore("c2", "c3");
-        sentOn(workers.get(1), "c4");
-        says(workers.get(1), FULL);
+    public void anAnswerThatAnotherFollowsIsNotBelieved() throws Exception {
+        Socket worker = sentOn(usedBefore("d0"), "d1");
+        says(worker, FULL);
         turn();
-        confirms(delete(workers.get(0), "c4"));
-        pass(20 * MILLI - 1);
+        says(worker, TAKEN);
+        turn();
+        pass(50 * MILLI);
         hasHeard();
-        pass(1);
-        hasHeard("finished c4 0 FULL false");
+        confirms(delete(accept(one), "d1"));
+        hasHeard("finished d1 0 RESET false");
     }
 
-    /** It was the exchange before's: the worker has the job, and may have begun it. */
     @Test
-    public void anAnswerThatAnotherFollowsIsNotBelieved() throws Exception {
-        List<Socket> workers = usedBefore("d0", "d1");
-        sentOn(workers.get(1), "d2");
-        says(workers.get(1), FULL);
+    public void norIsOneThatAnotherFollowsInThePlaceOfTheDeletes() throws Exception {
+        Socket worker = sentOn(usedBefore("d2"), "d3");
+        says(worker, FULL);
         turn();
-        Arrived first = delete(workers.get(0), "d2");
-        says(workers.get(1), TAKEN);
+        pass(20 * MILLI);
+        delete(worker, "d3");
+        says(worker, TAKEN);
+        turn();
+        hasHeard();
+        pass(50 * MILLI);
+        confirms(delete(worker, "d3"));
+        hasHeard("finished d3 0 RESET false");
+    }
+
+    /** It cannot have been turned away unstarted. */
+    @Test
+    public void norIsOneOfAJobThatIsReportedStarted() throws Exception {
+        Socket worker = sentOn(usedBefore("d4"), "d5");
+        says(worker, FULL);
+        turn();
+        reports("d5", "w1", ReportedState.STARTED);
         turn();
-        confirms(first);
         pass(20 * MILLI);
+        confirms(delete(worker, "d5"));
+        hasHeard("finished d5 0 RESET false");
+    }
+
+    /** The one behind a cancelled job tells as well what became of it. */
+    @Test
+    public void anAnswerWhileTheJobIsCancelledHasTheDeleteFollowItToo() throws Exception {
+        Socket worker = sentOn(usedBefore("j0"), "j1");
+        script.out.cancelAttempt("j1", 0);
+        turn();
+        Arrived early = delete(accept(one), "j1");
+        says(worker, FULL);
+        turn();
+        confirms(early);
         hasHeard();
-        confirms(delete(workers.get(0), "d2"));
-        hasHeard("finished d2 0 RESET false");
+        pass(20 * MILLI);
+        confirms(delete(worker, "j1"));
+        hasHeard("finished j1 0 CANCELLED false");
     }
 
     @Test
--- a/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
+++ b/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import postgrade.fleet.Clock;
@@ -21,6 +23,10 @@
     private final Http.FirstByte first;
     private boolean fresh = true;
     private Attempt unanswered;
+
+    /** What has come while a job was not answered yet. */
+    private final Deque<FullHttpRequest> behind = new ArrayDeque<>();
+
     private ScheduledFuture<?> idle;
 
     WorkerRequests(WorkerServer server, int dispatcher, Http.FirstByte first) {
@@ -54,6 +60,14 @@
         if (idle != null) {
             idle.cancel(false);
         }
+        if (unanswered != null) {
+            behind.add(r.retain()); // Answers go out in the order of their requests.
+            return;
+        }
+        take(ctx, r);
+    }
+
+    private void take(ChannelHandlerContext ctx, FullHttpRequest r) {
         long firstMicros = first.take();
         if (!r.decoderResult().isSuccess()) {
             ctx.writeAndFlush(Http.response(400, "")).addListener(f -> ctx.close());
@@ -90,6 +104,19 @@
         if (ctx.channel().isActive() && !server.silent) {
             ctx.writeAndFlush(Http.response(status, body, headers));
             idleFrom(ctx);
+            takeNext(ctx);
+        }
+    }
+
+    private void takeNext(ChannelHandlerContext ctx) {
+        FullHttpRequest next = behind.poll();
+        if (next != null) {
+            idle.cancel(false);
+            try {
+                take(ctx, next);
+            } finally {
+                next.release();
+            }
         }
     }
 
@@ -188,6 +215,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         Attempt a = unanswered;
         unanswered = null;
+        behind.forEach(FullHttpRequest::release);
+        behind.clear();
         if (a != null && !a.ended && !a.accepted) {
             server.on(() -> server.giveUp(a.id)); // Closed before the 202: given up.
         }
