--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -68,16 +68,10 @@
         this.allowsConcurrentAttempts = allowsConcurrentAttempts;
         batch = new EventBatch(timers, errors);
         lifecycle = new AttemptLifecycle(timers, errors, batch, this::policy);
-        policy =
-                policyFactory.apply(
-                        new ActionQueue(
-                                timers,
-                                errors,
-                                batch,
-                                lifecycle,
-                                requests,
-                                this::transport,
-                                this::policy));
+        ActionQueue actions =
+                new ActionQueue(
+                        timers, errors, batch, lifecycle, requests, this::transport, this::policy);
+        policy = policyFactory.apply(actions);
     }
 
     private DispatchPolicy policy() {
@@ -285,6 +279,11 @@
         return requests.isEmpty() && !hasPendingEvents();
     }
 
+    /** Whether no request waits for its answer; attempts of answered ones may be out. */
+    public boolean allAnswered() {
+        return lifecycle.unanswered() == 0;
+    }
+
     /** Whether events wait for a turn. */
     public boolean hasPendingEvents() {
         return batch.hasEvents();
--- a/daemon/src/main/java/postgrade/daemon/Ending.java
+++ b/daemon/src/main/java/postgrade/daemon/Ending.java
@@ -84,6 +84,16 @@
         }
     }
 
+    /**
+     * Attempts that are being given up are waited for, but not into SIGKILL: their clients have
+     * their answers, and a worker that is silent would keep the listener open until then.
+     */
+    private boolean owesNothing(long now) {
+        return lifecycle.mustEnd(now)
+                ? gateway.allAnswered()
+                : gateway.isIdle() && providers.quiet();
+    }
+
     private void checked() {
         checking = false;
         listener.followLifecycle();
@@ -96,8 +106,7 @@
                 listener.refuseUnfinished();
             }
         }
-        boolean answered =
-                lifecycle.mayEnd(now) && gateway.isIdle() && providers.quiet() && listener.quiet();
+        boolean answered = lifecycle.mayEnd(now) && owesNothing(now) && listener.quiet();
         // Guards the last requests and answers: with the process go what lies unread in its sockets
         // and backlog, and by a
         // reset what peers have not read yet.
--- a/daemon/src/test/java/postgrade/daemon/ShutdownStagesTest.java
+++ b/daemon/src/test/java/postgrade/daemon/ShutdownStagesTest.java
@@ -1,11 +1,13 @@
 package postgrade.daemon;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
 import postgrade.daemon.Peer.Arrived;
 
@@ -91,6 +93,30 @@
         answeredOnce(client, "s1");
     }
 
+    /** Its client has the answer; a worker that is silent kept the listener open into SIGKILL. */
+    @Test
+    public void anAttemptThatIsBeingGivenUpIsNotWaitedForBeyondSigkill() throws Exception {
+        Socket client = sentOn("g1");
+        one.next("POST").accept();
+        turns.on(
+                () -> {
+                    turns.script.out.cancelAttempt("g1", 0);
+                    turns.script.out.reject("g1", 0);
+                });
+        one.next("DELETE /jobs/g1 ");
+        assertEquals(429, Peer.read(client).status());
+        client.close();
+        stop(() -> {}, () -> {});
+        assertFalse("it is waited for until then", turns.hasEnded());
+        CountDownLatch later = new CountDownLatch(1);
+        turns.crossing(
+                KILL_MILLIS - UNTIL_LEAVING_MILLIS,
+                () -> {},
+                () -> turns.loop.at(turns.loop.nowMicros() + 1, later::countDown));
+        turns.ends();
+        assertEquals("ended in that turn", 1, later.getCount());
+    }
+
     @Test
     public void aRequestInPartIsNotTakenForARestingConnection() throws Exception {
         Socket half = turns.connect();
--- a/daemon/src/test/java/postgrade/daemon/Turns.java
+++ b/daemon/src/test/java/postgrade/daemon/Turns.java
@@ -189,6 +189,10 @@
         }
     }
 
+    boolean hasEnded() {
+        return !thread.isAlive();
+    }
+
     /** Waits for the end of a turn that has begun since this call. */
     void turn() throws InterruptedException {
         for (int i = 0; i < 2; i++) { // The first may be under way.
--- a/rig/src/main/java/postgrade/rig/load/Shops.java
+++ b/rig/src/main/java/postgrade/rig/load/Shops.java
@@ -81,6 +81,16 @@
         clock.execute(() -> perSecond = jobsPerSecond);
     }
 
+    /**
+     * Whether the front sends new connections to a dispatcher, as its readiness tells; open ones
+     * are used on.
+     *
+     * @param dispatcher counted from 0
+     */
+    public void admit(int dispatcher, boolean now) {
+        targets.get(dispatcher).admitted = now;
+    }
+
     /** Sends so many jobs at once. */
     public void send(int jobs) throws InterruptedException, ExecutionException {
         clock.submit(
--- a/rig/src/main/java/postgrade/rig/load/Target.java
+++ b/rig/src/main/java/postgrade/rig/load/Target.java
@@ -25,6 +25,9 @@
     private final ConcurrentLinkedDeque<Line> idle = new ConcurrentLinkedDeque<>();
     volatile long passedOverUntil;
 
+    /** Whether the front sends it new connections; those that are open are used all the same. */
+    volatile boolean admitted = true;
+
     Target(String name, InetSocketAddress address) {
         this.name = name;
         this.address = address;
@@ -38,6 +41,9 @@
             }
             l.close();
         }
+        if (!admitted) {
+            return null;
+        }
         try {
             return new Line(address);
         } catch (IOException e) {
