--- a/rig/src/test/java/postgrade/rig/shared/ComingBackTest.java
+++ b/rig/src/test/java/postgrade/rig/shared/ComingBackTest.java
@@ -15,7 +15,6 @@
 import java.util.TreeMap;
 import org.junit.After;
 import org.junit.Before;
-import org.junit.Ignore;
 import org.junit.Rule;
 import org.junit.Test;
 import postgrade.fleet.Clock;
@@ -190,11 +189,6 @@
         s.judgeRules();
     }
 
-    /**
-     * Left out until it is known why a start beside another one now and then finds its address in
-     * use: see docs/rig.md.
-     */
-    @Ignore("now and then the new process finds its address in use, cause unknown")
     @Test
     public void anUpgradeKeepsOnePlaceAmongTheMembersAndTheWorkerOut()
             throws IOException, InterruptedException {
