--- a/daemon/src/main/java/postgrade/provider/GiveUp.java
+++ b/daemon/src/main/java/postgrade/provider/Cancellation.java
@@ -14,12 +14,12 @@
  * Guards against two attempts out: until then the worker may still run the job, or may yet take it,
  * and the policy is not told.
  */
-final class GiveUp {
+final class Cancellation {
     /** How long one DELETE may take. */
     private static final long ANSWER_MICROS = 400_000;
 
     /**
-     * The pause before the next doubles from the one to the other. Guards the provider: one whose
+     * The pause before the next doubles from the one to the other. Guards the worker: one whose
      * process has ended refuses each, and each would be a new connection, up to the job's deadline.
      */
     private static final long FIRST_PAUSE_MICROS = 50_000;
@@ -28,7 +28,7 @@
 
     private final Timers timers;
     private final Pool pool;
-    private final Attempt call;
+    private final Attempt attempt;
     private final EndProof proof;
     private final IntConsumer underWay;
     private final Consumer<EndEvidence> done;
@@ -46,16 +46,16 @@
      * @param underWay counts those that are under way
      * @param done hears what proves the end, once
      */
-    GiveUp(
+    Cancellation(
             Timers timers,
             Pool pool,
-            Attempt call,
+            Attempt attempt,
             EndProof proof,
             IntConsumer underWay,
             Consumer<EndEvidence> done) {
         this.timers = timers;
         this.pool = pool;
-        this.call = call;
+        this.attempt = attempt;
         this.proof = proof;
         this.underWay = underWay;
         this.done = done;
@@ -104,16 +104,16 @@
     }
 
     /**
-     * The call has ended otherwise: a DELETE that still waits for its connection is not written any
-     * more.
+     * The attempt has ended otherwise: a DELETE that still waits for its connection is not written
+     * any more.
      */
     void stop() {
         if (close() && !delete.over && delete.link == null) {
-            pool.withdraw(delete); // Guards a later call to the same provider, which it would end.
+            pool.withdraw(delete); // Guards a later attempt at the same worker, which it would end.
         }
     }
 
-    /** The call is given up. A DELETE under way goes on, and frees the provider in any case. */
+    /** The attempt is given up. A DELETE under way goes on, and frees the worker in any case. */
     void finish(EndEvidence evidence) {
         if (close()) {
             done.accept(evidence);
@@ -146,19 +146,20 @@
     }
 
     /**
-     * Also after a refusal, which is no word on the job: a provider may keep no more connections,
-     * or have ended its listener and still complete what it runs. That the process has died is told
-     * by its machine's call-back.
+     * Also after a refusal, which is no word on the job: a worker may keep no more connections, or
+     * have ended its listener and still complete what it runs. That the process has died is told by
+     * its machine's call-back.
      */
     private void again() {
-        if (timers.nowMicros() >= call.deadlineMicros()) {
+        if (timers.nowMicros() >= attempt.deadlineMicros()) {
             // The client has its answer by now and nothing will be sent again.
             finish(EndEvidence.of(Kind.DEADLINE));
         } else {
             // The last one goes out at the deadline: a longer pause would keep a process that is to
             // end waiting for it.
             timers.at(
-                    Math.min(timers.nowMicros() + pauseMicros, call.deadlineMicros()), this::send);
+                    Math.min(timers.nowMicros() + pauseMicros, attempt.deadlineMicros()),
+                    this::send);
             pauseMicros = Math.min(2 * pauseMicros, LONGEST_PAUSE_MICROS);
         }
     }
@@ -174,7 +175,7 @@
 
         @Override
         byte[] head() {
-            return MessageWriter.request("DELETE", "/jobs/" + call.id())
+            return MessageWriter.request("DELETE", "/jobs/" + attempt.id())
                     .header("Host", pool.host())
                     .noBody();
         }
--- a/daemon/src/main/java/postgrade/provider/Pool.java
+++ b/daemon/src/main/java/postgrade/provider/Pool.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import postgrade.dispatch.Timers;
@@ -12,8 +10,8 @@
 import postgrade.http.Reactor;
 
 /**
- * The connections to one provider. A request takes an idle one, else waits for one that rests or
- * for the one it has opened.
+ * The connections to one worker. A request takes an idle one, else waits for one that rests or for
+ * the one it has opened.
  */
 final class Pool {
     /**
@@ -37,7 +35,7 @@
     int users;
 
     private final FreeLinks free;
-    private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+    private final WaitingRequests waiting = new WaitingRequests();
     private int connecting;
     private int fresh;
     private int up;
@@ -91,7 +89,7 @@
             try {
                 open();
             } catch (IOException e) {
-                waitInVain(r, breakBy(e));
+                waiting.fail(r, breakBy(e));
             }
         } else {
             postponed++;
@@ -169,16 +167,10 @@
      */
     private void connectFailed(Request.Break how) {
         if (lacksOne()) {
-            waitInVain(waiting.peek(), how);
+            waiting.fail(waiting.first(), how);
         }
     }
 
-    private void waitInVain(Request r, Request.Break how) {
-        waiting.remove(r);
-        r.over = true;
-        r.broken(how);
-    }
-
     /** A link that has come up takes what waits. */
     private void give(Link link) {
         if (!isCurrent(link)) {
@@ -186,10 +178,10 @@
             return;
         }
         fresh--;
-        if (firstInTime() == null) {
+        if (waiting.firstInTime(timers.nowMicros()) == null) {
             free.add(link, Link.State.IDLE);
         } else {
-            link.carry(waiting.poll());
+            link.carry(waiting.takeFirst());
         }
     }
 
@@ -225,30 +217,16 @@
     /** Those that have rested take what waits. */
     private void giveRested() {
         wake = null;
-        while (firstInTime() != null) {
+        while (waiting.firstInTime(timers.nowMicros()) != null) {
             Link link = free.take();
             if (link == null) {
                 break;
             }
-            link.carry(waiting.poll());
+            link.carry(waiting.takeFirst());
         }
         wakeForWaiting();
     }
 
-    /**
-     * Guards what must not run twice: a repeat whose connection has come up too late is not
-     * written.
-     */
-    private Request firstInTime() {
-        Request next = waiting.peek();
-        while (next != null && next.isLate(timers.nowMicros())) {
-            withdraw(next);
-            next.broken(Request.Break.TOO_LATE);
-            next = waiting.peek();
-        }
-        return next;
-    }
-
     /**
      * Guards against a request whose consumer has left or whose time is over, of which we shall
      * read later in this turn: nothing is written before all channels have been served and the
@@ -315,8 +293,7 @@
     }
 
     void withdraw(Request r) {
-        waiting.remove(r);
-        r.over = true;
+        waiting.withdraw(r);
     }
 
     /**
@@ -325,12 +302,7 @@
      */
     void drain() {
         ready = false;
-        for (Request r : new ArrayList<>(waiting)) {
-            if (r.isNewWork()) {
-                withdraw(r);
-                r.broken(Request.Break.DRAINED);
-            }
-        }
+        waiting.failNewWork();
     }
 
     void closeIdle() {
