--- a/daemon/src/test/java/postgrade/daemon/EndProofTest.java
+++ b/daemon/src/test/java/postgrade/daemon/EndProofTest.java
@@ -10,6 +10,9 @@
 import org.junit.Test;
 import postgrade.daemon.Peer.Arrived;
 import postgrade.dispatch.ReportedState;
+import postgrade.policy.api.Idempotency;
+import postgrade.policy.api.JobClass;
+import postgrade.policy.api.PolicySettings;
 
 /**
  * An attempt has ended only when something says so that names it. Each sign that does not is here,
@@ -259,4 +262,68 @@
         confirms(delete(other, "i1"));
         hasHeard("finished i1 0 CANCELLED false");
     }
+
+    /** It names the worker and the request, and an earlier attempt of it there. */
+    @Test
+    public void aRepeatedCallBackOfAnEarlierAttemptThereHasThisOneCancelledFirst()
+            throws Exception {
+        Socket worker = taken("k1");
+        reports("k1", "w1", ReportedState.RETURNED);
+        turn();
+        hasHeard("finished k1 0 FULL false");
+        script.out.startAttempt("k1", "w1", 0);
+        turn();
+        pass(20 * MILLI);
+        assertEquals("k1", request(worker).header("X-Request-Id"));
+        says(worker, TAKEN);
+        pass(20 * MILLI);
+        reports("k1", "w1", ReportedState.RETURNED);
+        turn();
+        hasHeard("finished k1 0 FULL false");
+        confirms(delete(worker, "k1"));
+        hasHeard("finished k1 0 FULL false", "finished k1 1 RESET false");
+    }
+
+    /** A call-back of another worker, or of another request, names something else. */
+    @Test
+    public void aStrangersCallBackEndsNothing() throws Exception {
+        taken("l1");
+        reports("l1", "w2", ReportedState.FAILED);
+        reports("l2", "w1", ReportedState.FAILED);
+        turn();
+        hasHeard();
+    }
+
+    /** What the new settings allow is for requests to come. */
+    @Test
+    public void newSettingsLeaveARequestsAttemptsAsTheyAre() throws Exception {
+        taken("m1");
+        PolicySettings.Builder settings = PolicySettings.builder();
+        settings.classes(List.of(JobClass.of("price", Idempotency.IDEMPOTENT)));
+        settings.allowsConcurrentAttempts(true);
+        gateway.settingsChanged(settings.build(), 100);
+        script.out.startAttempt("m1", "w2", 0);
+        turn();
+        turn();
+        hasHeard("finished m1 1 NOT_SENT false");
+    }
+
+    @Test
+    public void aRefusedConnectProvesThatTheJobNeverRan() throws Exception {
+        one.close();
+        open("n1");
+        turn();
+        hand.heard(() -> {});
+        turn();
+        hasHeard("finished n1 0 UNREACHABLE false");
+    }
+
+    /** The client's time is over, so nothing is sent again, whatever became of the job. */
+    @Test
+    public void theDeadlineEndsIt() throws Exception {
+        taken("o1");
+        pass(DEADLINE);
+        turn();
+        hasHeard("finished o1 0 TIMEOUT false");
+    }
 }
