Count a 202 on a connection used before only once that has rested with nothing more

Cause: by reading: a second 202 of the exchange before would have settled the proof, and a DELETE that overtakes the job would have counted. Change: Call.settleOnceRested; nothing for jobs that are not cancelled within 20 ms of their 202.

--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -39,7 +39,7 @@
     private boolean reportedStart;
     private final WireTimes wire = new WireTimes();
 
-    /** Not null from the state {@link State#GIVING_UP} on. */
+    /** Not null from the state {@link CallState#GIVING_UP} on. */
     private Cancellation cancellation;
 
     /**
@@ -152,7 +152,24 @@
         accepted = true;
         wire.accepted(timers.nowMicros());
         to(CallState.TAKEN);
-        settle();
+        if (proof.answersNameIt()) {
+            settle();
+        } else if (cancellation != null) {
+            settleOnceRested();
+        }
+    }
+
+    /**
+     * A 202 on a connection used before may be another exchange's as well: it counts if no other
+     * answer comes while the connection rests.
+     */
+    private void settleOnceRested() {
+        long restedMicros = wire.acceptedMicros() + FreeLinks.REST_MICROS;
+        if (timers.nowMicros() >= restedMicros) {
+            settle();
+        } else {
+            timers.at(restedMicros, this::settle);
+        }
     }
 
     /**
@@ -184,8 +201,8 @@
     /** What came as the answer was not the only one, so it may have been another exchange's. */
     @Override
     void contradicted() {
-        if (state == CallState.GIVING_UP) {
-            proof.contradict();
+        proof.contradict(); // Its connection is over with that.
+        if (cancellation != null) {
             cancellation.settled();
         }
     }
@@ -330,6 +347,9 @@
                                 link.abort(); // Nothing is awaited on it any more.
                             }
                         });
+        if (accepted && !proof.isSettled()) {
+            settleOnceRested();
+        }
         if (behind != null) {
             cancellation.sendInOrder(behind);
         } else {
--- a/daemon/src/main/java/postgrade/provider/WireTimes.java
+++ b/daemon/src/main/java/postgrade/provider/WireTimes.java
@@ -33,6 +33,10 @@
         return writtenMicros;
     }
 
+    long acceptedMicros() {
+        return acceptedMicros;
+    }
+
     WireRecord toRecord() {
         return new WireRecord(writtenMicros, acceptedMicros, cancelledMicros, connection);
     }
--- a/daemon/src/test/java/postgrade/daemon/EndProofTest.java
+++ b/daemon/src/test/java/postgrade/daemon/EndProofTest.java
@@ -263,6 +263,21 @@
         hasHeard("finished i1 0 CANCELLED false");
     }
 
+    /** Nor does a 202 there say by itself that the worker has this job. */
+    @Test
+    public void a202OnAConnectionUsedBeforeCountsOnceTheConnectionHasRested() throws Exception {
+        List<Socket> workers = usedBefore("p0", "p1");
+        sentOn(workers.get(1), "p2");
+        says(workers.get(1), TAKEN);
+        script.out.cancelAttempt("p2", 0);
+        turn();
+        confirms(delete(workers.get(0), "p2"));
+        hasHeard();
+        pass(20 * MILLI);
+        confirms(delete(workers.get(0), "p2"));
+        hasHeard("finished p2 0 CANCELLED false");
+    }
+
     /** It names the worker and the request, and an earlier attempt of it there. */
     @Test
     public void aRepeatedCallBackOfAnEarlierAttemptThereHasThisOneCancelledFirst()
