--- a/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
+++ b/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
@@ -1,6 +1,8 @@
 package postgrade.dispatch;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
@@ -217,4 +219,15 @@
             attempt.handle().cancel(evidence -> end(attempt, outcome, evidence, null));
         }
     }
+
+    /** Cancels the attempts of answered requests that have not ended, once each. */
+    void cancelUnwanted(Collection<PendingRequest> requests) {
+        for (PendingRequest request : List.copyOf(requests)) {
+            if (request.isAnswered()) {
+                request.attempts().stream()
+                        .filter(attempt -> attempt.isOut() && attempt.isOnWire())
+                        .forEach(attempt -> cancel(attempt, AttemptOutcome.CANCELLED));
+            }
+        }
+    }
 }
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -92,8 +92,6 @@
         lifecycle.observer(next);
     }
 
-    // ---- From the clients' side. Nothing here calls the policy at once.
-
     /**
      * Accepts a request, which is owed one answer from now on. Returns false, and does nothing, if
      * a request with its id is in flight.
@@ -284,6 +282,11 @@
         return lifecycle.unanswered() == 0;
     }
 
+    /** Has what is out for answered requests cancelled on the wire: nobody will hear of it. */
+    public void cancelUnwanted() {
+        lifecycle.cancelUnwanted(requests.values());
+    }
+
     /** Whether events wait for a turn. */
     public boolean hasPendingEvents() {
         return batch.hasEvents();
--- a/daemon/src/main/java/postgrade/daemon/Ending.java
+++ b/daemon/src/main/java/postgrade/daemon/Ending.java
@@ -85,13 +85,16 @@
     }
 
     /**
-     * Attempts that are being given up are waited for, but not into SIGKILL: their clients have
-     * their answers, and a worker that is silent would keep the listener open until then.
+     * Attempts that are out are waited for, but near SIGKILL only until each worker has been asked
+     * to drop what is out for answered requests: one that is silent would keep the listener open
+     * until then.
      */
     private boolean owesNothing(long now) {
-        return lifecycle.mustEnd(now)
-                ? gateway.allAnswered()
-                : gateway.isIdle() && providers.quiet();
+        if (!lifecycle.mustEnd(now)) {
+            return gateway.isIdle() && providers.quiet();
+        }
+        gateway.cancelUnwanted();
+        return gateway.allAnswered() && providers.allCancellationsAsked();
     }
 
     private void checked() {
--- a/daemon/src/main/java/postgrade/provider/Call.java
+++ b/daemon/src/main/java/postgrade/provider/Call.java
@@ -1,7 +1,6 @@
 package postgrade.provider;
 
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import postgrade.dispatch.Attempt;
 import postgrade.dispatch.EndEvidence;
 import postgrade.dispatch.EndEvidence.Kind;
@@ -31,7 +30,7 @@
     private final Pool pool;
     private final Attempt attempt;
     private final String fence;
-    private final IntConsumer givingUp;
+    private final CancellationTracker cancellations;
     private final EndProof proof = new EndProof();
     private CallState state = CallState.OUT;
     private boolean accepted;
@@ -44,7 +43,7 @@
 
     /**
      * @param fence the claim it goes with, or null
-     * @param givingUp counts those that are being given up
+     * @param cancellations counts those that are being given up
      */
     Call(
             RequestTracker tracker,
@@ -52,14 +51,14 @@
             Pool pool,
             Attempt attempt,
             String fence,
-            IntConsumer givingUp) {
+            CancellationTracker cancellations) {
         super(attempt.payload().body());
         this.tracker = tracker;
         this.timers = timers;
         this.pool = pool;
         this.attempt = attempt;
         this.fence = fence;
-        this.givingUp = givingUp;
+        this.cancellations = cancellations;
     }
 
     /** False, and nothing changes, where the one does not follow the other. */
@@ -339,7 +338,7 @@
                         pool,
                         attempt,
                         proof,
-                        givingUp,
+                        cancellations,
                         evidence -> {
                             to(CallState.ENDED);
                             done.accept(evidence);
--- a/daemon/src/main/java/postgrade/provider/Cancellation.java
+++ b/daemon/src/main/java/postgrade/provider/Cancellation.java
@@ -1,7 +1,6 @@
 package postgrade.provider;
 
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 import postgrade.dispatch.Attempt;
 import postgrade.dispatch.EndEvidence;
 import postgrade.dispatch.EndEvidence.Kind;
@@ -30,20 +29,21 @@
     private final Pool pool;
     private final Attempt attempt;
     private final EndProof proof;
-    private final IntConsumer underWay;
+    private final CancellationTracker tracker;
     private final Consumer<EndEvidence> done;
 
     /** The latest. */
     private Delete delete;
 
     private boolean finished;
+    private boolean wasAsked;
     private boolean answeredTooEarly;
     private boolean provedInOrder;
 
     private long pauseMicros = FIRST_PAUSE_MICROS;
 
     /**
-     * @param underWay counts those that are under way
+     * @param tracker counts this one
      * @param done hears what proves the end, once
      */
     Cancellation(
@@ -51,15 +51,15 @@
             Pool pool,
             Attempt attempt,
             EndProof proof,
-            IntConsumer underWay,
+            CancellationTracker tracker,
             Consumer<EndEvidence> done) {
         this.timers = timers;
         this.pool = pool;
         this.attempt = attempt;
         this.proof = proof;
-        this.underWay = underWay;
+        this.tracker = tracker;
         this.done = done;
-        underWay.accept(1);
+        tracker.begun();
     }
 
     void send() {
@@ -125,11 +125,20 @@
             return false;
         }
         finished = true;
-        underWay.accept(-1);
+        asked();
+        tracker.ended();
         pool.users--;
         return true;
     }
 
+    /** The worker has been asked once, or could not be. */
+    private void asked() {
+        if (!wasAsked) {
+            wasAsked = true;
+            tracker.asked();
+        }
+    }
+
     private void confirmed(Delete answered, int status) {
         if (finished || answered != delete) {
             return;
@@ -151,6 +160,7 @@
      * its machine's call-back.
      */
     private void again() {
+        asked();
         if (timers.nowMicros() >= attempt.deadlineMicros()) {
             // The client has its answer by now and nothing will be sent again.
             finish(EndEvidence.of(Kind.DEADLINE));
@@ -187,6 +197,7 @@
 
         @Override
         void carriedBy(Link carrier) {
+            asked();
             stamp = inOrder ? proof.stampInOrder() : proof.stamp();
         }
 
--- a/daemon/src/main/java/postgrade/provider/ProviderPools.java
+++ b/daemon/src/main/java/postgrade/provider/ProviderPools.java
@@ -71,7 +71,7 @@
     /** Null where nothing paces. */
     private Pacing pacing;
 
-    private int givingUp;
+    private final CancellationTracker cancellations = new CancellationTracker();
 
     public ProviderPools(
             RequestTracker gateway,
@@ -202,7 +202,7 @@
                         pool,
                         call,
                         fences.of(call.jobClass(), call.tenant(), call.workerId()),
-                        count -> givingUp += count);
+                        cancellations);
         pool.users++;
         pool.send(sent);
         return sent;
@@ -210,7 +210,12 @@
 
     /** No attempt is still being given up on the wire. */
     public boolean quiet() {
-        return givingUp == 0;
+        return cancellations.underWay() == 0;
+    }
+
+    /** Each worker has been asked once to drop what is being given up, or could not be asked. */
+    public boolean allCancellationsAsked() {
+        return cancellations.unasked() == 0;
     }
 
     // ---- Probes.
--- a/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
+++ b/fleet/src/main/java/postgrade/fleet/net/WorkerRequests.java
@@ -24,7 +24,10 @@
     private boolean fresh = true;
     private Attempt unanswered;
 
-    /** What has come while a job was not answered yet. */
+    /** A job has come that is not answered yet. */
+    private boolean answering;
+
+    /** What has come meanwhile. */
     private final Deque<FullHttpRequest> behind = new ArrayDeque<>();
 
     private ScheduledFuture<?> idle;
@@ -60,7 +63,7 @@
         if (idle != null) {
             idle.cancel(false);
         }
-        if (unanswered != null) {
+        if (answering) {
             behind.add(r.retain()); // Answers go out in the order of their requests.
             return;
         }
@@ -82,6 +85,7 @@
                         answer(ctx, 200, "");
                     });
         } else if (r.method().name().equals("POST") && id != null) {
+            answering = true;
             long micros = Clock.micros();
             String fence = r.headers().get("X-Fence");
             if (fresh && server.plan.handshakeMs > 0) {
@@ -101,6 +105,7 @@
 
     private void answer(ChannelHandlerContext ctx, int status, String body, String... headers) {
         unanswered = null;
+        answering = false;
         if (ctx.channel().isActive() && !server.silent) {
             ctx.writeAndFlush(Http.response(status, body, headers));
             idleFrom(ctx);
--- a/rig/src/main/java/postgrade/rig/jobs/ExchangeFault.java
+++ b/rig/src/main/java/postgrade/rig/jobs/ExchangeFault.java
@@ -24,7 +24,7 @@
         /**
          * The request comes to the worker only when the cancellation of its job has been answered
          * there, and the answer to the cancellation to the dispatcher only after the one to the
-         * request. Meant for both exchanges.
+         * request. Meant for both exchanges; neither waits longer than the delay.
          */
         OVERTAKEN,
         /**
--- a/rig/src/main/java/postgrade/rig/jobs/ProxiedConnection.java
+++ b/rig/src/main/java/postgrade/rig/jobs/ProxiedConnection.java
@@ -74,7 +74,7 @@
                 case LATE_REQUEST -> TimeUnit.MILLISECONDS.sleep(fault.delayMillis());
                 case OVERTAKEN -> {
                     if (request.isJob()) {
-                        proxy.overtaking(request.subject()).awaitCancelled();
+                        proxy.overtaking(request.subject()).awaitCancelled(fault.delayMillis());
                     }
                 }
                 case STALE_ANSWER -> {
@@ -137,7 +137,7 @@
                 return true;
             }
             case OVERTAKEN -> {
-                passOvertaken(answer, exchange.request());
+                passOvertaken(answer, exchange);
                 return true;
             }
             case LATE_ANSWER -> TimeUnit.MILLISECONDS.sleep(fault.delayMillis());
@@ -154,15 +154,16 @@
         return true;
     }
 
-    private void passOvertaken(byte[] answer, RawMessage request)
+    private void passOvertaken(byte[] answer, Unanswered exchange)
             throws IOException, InterruptedException {
+        RawMessage request = exchange.request();
         Overtaking overtaking = proxy.overtaking(request.subject());
         if (request.isJob()) {
             writeAnswer(answer);
             overtaking.answered();
         } else {
             overtaking.cancelled();
-            overtaking.awaitAnswered();
+            overtaking.awaitAnswered(exchange.fault().delayMillis());
             writeAnswer(answer);
         }
     }
