--- a/daemon/src/main/java/postgrade/provider/Cancellation.java
+++ b/daemon/src/main/java/postgrade/provider/Cancellation.java
@@ -143,6 +143,13 @@
         if (finished || answered != delete) {
             return;
         }
+        if (answered.inOrder && !answered.rested) {
+            // Guards against a worker that answers out of order: the job's own answer may follow.
+            answered.rested = true;
+            long restedMicros = timers.nowMicros() + FreeLinks.REST_MICROS;
+            timers.at(restedMicros, () -> confirmed(answered, status));
+            return;
+        }
         if (proof.isProvedBy(answered.stamp)) {
             provedInOrder = answered.inOrder;
             finish(new EndEvidence(Kind.CANCEL_CONFIRMED, status));
@@ -177,6 +184,7 @@
     private final class Delete extends Request {
         private final boolean inOrder;
         private EndProof.Stamp stamp;
+        private boolean rested;
 
         Delete(boolean inOrder) {
             super(NONE);
@@ -217,6 +225,11 @@
             again();
         }
 
+        @Override
+        void contradicted() {
+            orderBroken();
+        }
+
         /** The job's own answer may have been lost, or has come only now. */
         private void orderBroken() {
             if (inOrder) {
--- a/daemon/src/test/java/postgrade/daemon/EndProofTest.java
+++ b/daemon/src/test/java/postgrade/daemon/EndProofTest.java
@@ -129,6 +129,9 @@
         hasHeard();
         pass(1);
         confirms(delete(workers.get(1), "c2"));
+        pass(20 * MILLI - 1);
+        hasHeard();
+        pass(1);
         hasHeard("finished c2 0 FULL false");
     }
 
@@ -161,6 +164,22 @@
         hasHeard("finished d3 0 RESET false");
     }
 
+    /** The worker has answered out of order, and has the job. */
+    @Test
+    public void norIsOneThatAnotherFollowsBehindTheDeletes() throws Exception {
+        Socket worker = sentOn(usedBefore("d6"), "d7");
+        says(worker, FULL);
+        turn();
+        pass(20 * MILLI);
+        confirms(delete(worker, "d7"));
+        says(worker, TAKEN);
+        turn();
+        pass(20 * MILLI);
+        hasHeard();
+        confirms(delete(accept(one), "d7"));
+        hasHeard("finished d7 0 RESET false");
+    }
+
     /** It cannot have been turned away unstarted. */
     @Test
     public void norIsOneOfAJobThatIsReportedStarted() throws Exception {
@@ -171,6 +190,7 @@
         turn();
         pass(20 * MILLI);
         confirms(delete(worker, "d5"));
+        pass(20 * MILLI);
         hasHeard("finished d5 0 RESET false");
     }
 
@@ -187,6 +207,7 @@
         hasHeard();
         pass(20 * MILLI);
         confirms(delete(worker, "j1"));
+        pass(20 * MILLI);
         hasHeard("finished j1 0 CANCELLED false");
     }
 
@@ -209,6 +230,7 @@
         assertEquals(List.of(), answers);
         pass(20 * MILLI);
         confirms(delete(worker, "f1"));
+        pass(20 * MILLI);
         hasHeard("finished f1 0 CANCELLED true");
         assertEquals(List.of("f1 failed"), answers);
     }
