Put the soak's signals to one dispatcher one after another

Change: a fault waits for the one before it at the same dispatcher; a seed that cannot be played to its end counts as not clean, and the next goes on.

--- a/rig/src/main/java/postgrade/rig/soak/Soak.java
+++ b/rig/src/main/java/postgrade/rig/soak/Soak.java
@@ -47,15 +47,25 @@
         }
     }
 
-    private boolean run() throws IOException, InterruptedException, ExecutionException {
+    private boolean run() throws IOException, InterruptedException {
         int clean = 0;
         for (long seed = first; seed < first + seeds; seed++) {
-            clean += run(seed, limits, out.resolve("seed-" + seed)).isClean() ? 1 : 0;
+            clean += isClean(seed) ? 1 : 0;
         }
         System.out.println(clean + " of " + seeds + " seeds without a broken rule");
         return clean == seeds;
     }
 
+    /** A run that cannot be played to its end is no clean one, and the next goes on. */
+    private boolean isClean(long seed) throws IOException, InterruptedException {
+        try {
+            return run(seed, limits, out.resolve("seed-" + seed)).isClean();
+        } catch (ExecutionException | IllegalStateException e) {
+            System.out.println("seed " + seed + " NOT PLAYED TO ITS END: " + e);
+            return false;
+        }
+    }
+
     /** Runs one seed and tells of it. What it wrote stays in the folder. */
     static SoakResult run(long seed, SoakLimits limits, Path folder)
             throws IOException, InterruptedException, ExecutionException {
--- a/rig/src/main/java/postgrade/rig/soak/SoakRun.java
+++ b/rig/src/main/java/postgrade/rig/soak/SoakRun.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import postgrade.fleet.check.LedgerReader;
 import postgrade.fleet.check.LedgerReader.Line;
 import postgrade.fleet.check.RuleChecker;
@@ -33,7 +34,10 @@
     private final Path folder;
     private final RandomFaults exchangeFaults;
 
-    /** Dispatchers and times of kills that were not announced, as {@code name@micros}. */
+    /** A monitor for each dispatcher. */
+    private final List<Object> oneAtATime;
+
+    /** Dispatchers and times of kills that were not announced. */
     private final List<Kill> kills = new ArrayList<>();
 
     private record Kill(String dispatcher, long micros) {}
@@ -43,6 +47,7 @@
         this.limits = limits;
         this.folder = folder;
         exchangeFaults = new RandomFaults(plan.seed(), plan.exchangeFaults());
+        oneAtATime = Stream.generate(Object::new).limit(plan.dispatchers()).toList();
     }
 
     SoakResult run() throws IOException, InterruptedException, ExecutionException {
@@ -68,7 +73,9 @@
 
     private void play(Serving serving)
             throws IOException, InterruptedException, ExecutionException {
-        ScheduledExecutorService clock = Executors.newScheduledThreadPool(plan.dispatchers());
+        // A thread for each fault: one waits for the one before it at the same dispatcher.
+        ScheduledExecutorService clock =
+                Executors.newScheduledThreadPool(plan.processFaults().size() + 1);
         try (IdleClients idle = new IdleClients();
                 Shops shops =
                         new Shops(
@@ -131,6 +138,15 @@
 
     private Void put(Serving serving, Shops shops, ProcessFault fault)
             throws IOException, InterruptedException {
+        // A restart takes its time, and longer than planned on a busy machine.
+        synchronized (oneAtATime.get(fault.dispatcher())) {
+            putAlone(serving, shops, fault);
+        }
+        return null;
+    }
+
+    private void putAlone(Serving serving, Shops shops, ProcessFault fault)
+            throws IOException, InterruptedException {
         String name = serving.names().get(fault.dispatcher());
         switch (fault.kind()) {
             case RESTART -> restart(serving, shops, fault.dispatcher());
@@ -144,7 +160,6 @@
                 serving.cluster().of(name).hangUp();
             }
         }
-        return null;
     }
 
     private synchronized void note(String name, long micros) {
