--- a/cli/src/test/java/postgrade/cli/KnownRedTest.java
+++ b/cli/src/test/java/postgrade/cli/KnownRedTest.java
@@ -182,6 +182,20 @@
         assertEquals(1, judged("", suite(FAILS)), "a file that names none");
     }
 
+    /** It fails now and then; it is run, and printed either way. */
+    @Test
+    void anIntermittentOneMayPassOrFailButHasToBeRun() throws Exception {
+        String cause = " | intermittent: late | #24\n";
+        assertEquals(0, judged("p.ATest#passes" + cause, suite(PASSES)), () -> said);
+        saysAll("passed this time: p.ATest#passes: intermittent: late (issue 24)");
+        assertEquals(0, judged("p.ATest#fails" + cause, suite(FAILS)), () -> said);
+        saysAll("passed over: p.ATest#fails: intermittent: late (issue 24)");
+        assertEquals(1, judged("p.BTest#skipped" + cause, suite(PASSES + SKIPPED)));
+        saysAll("was not run: p.BTest#skipped");
+        assertEquals(1, judged("p.ATest#gone" + cause, suite(PASSES)));
+        assertEquals(1, judged("p.ATest#passes" + cause, suite(PASSES + FAILS)));
+    }
+
     @Test
     void aNamedOneThatPassesIsNotRunOrDoesNotExistFails() throws Exception {
         assertEquals(1, judged("p.ATest#passes | a race | #24\n", suite(PASSES)));
