--- a/review/1/BadClientCase.java
+++ b/review/1/BadClientCase.java
@@ -42,6 +42,7 @@
                         platform.newFolder("n1"),
                         discovery,
                         SETTINGS,
+                        SOCKETS,
                         folder.resolve("n1.log"));
         require(platform.awaitYes(dispatcher, listen, "/-/ready", 30_000), "not ready in 30 s");
 
--- a/review/2/UpgradeCase.java
+++ b/review/2/UpgradeCase.java
@@ -44,7 +44,7 @@
         discovery.open();
         Path shared = platform.newFolder("shared");
         Platform.Dispatcher serving =
-                platform.start("v0", listen, shared, discovery, SETTINGS, folder.resolve("v0.log"));
+                platform.start("v0", listen, shared, discovery, SETTINGS, SOCKETS, folder.resolve("v0.log"));
         require(platform.awaitYes(serving, listen, "/-/ready", 30_000), "not ready in 30 s");
 
         Load load = new Load();
@@ -68,6 +68,7 @@
                             shared,
                             discovery,
                             SETTINGS,
+                            SOCKETS,
                             folder.resolve("v" + upgrades + ".log"));
             boolean yes = platform.awaitYes(next, next.operator(), "/status", YES_MILLIS);
             if (!yes) {
--- a/review/standins/review/Case.java
+++ b/review/standins/review/Case.java
@@ -32,6 +32,9 @@
                           "queueOrder":"priority","tellsStart":true},
              "telemetry":{"fields":"","source":"silent"}}""";
 
+    /** The descriptors of a dispatcher. */
+    static final int SOCKETS = 1024;
+
     /** After this time the script gives up, well before its 120 s are over. */
     private static final long MOST_MILLIS = 112_000;
 
--- a/review/standins/review/Load.java
+++ b/review/standins/review/Load.java
@@ -17,7 +17,14 @@
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger left = new AtomicInteger();
     private final AtomicInteger number = new AtomicInteger(0x1000);
+    private final ConcurrentLinkedQueue<String> overdue = new ConcurrentLinkedQueue<>();
     private volatile boolean ended;
+    private volatile boolean newConnections;
+
+    /** Lets each request come on a new connection. */
+    void useNewConnections() {
+        newConnections = true;
+    }
 
     /** Adds a client; clients do not keep step, as each begins a little after the one before. */
     void add(Kind kind, InetSocketAddress dispatcher, Record record) {
@@ -30,6 +37,9 @@
                             Peer.sleep(37L * index);
                             while (!ended) {
                                 submit(client, kind);
+                                if (newConnections) {
+                                    client.close();
+                                }
                                 Peer.sleep(kind.pauseMillis);
                             }
                             client.close();
@@ -41,6 +51,9 @@
         Client.End end =
                 client.submit(
                         id, kind.jobClass, kind.tenant, kind.deadlineMillis, kind.leaveMillis, kind.body);
+        if (end == Client.End.OVERDUE) {
+            overdue.add(id);
+        }
         switch (end) {
             case ANSWERED -> answered.incrementAndGet();
             case LEFT -> left.incrementAndGet();
@@ -61,6 +74,11 @@
         return List.copyOf(lost);
     }
 
+    /** Returns the requests whose connection stayed open and that got no answer in time. */
+    List<String> overdue() {
+        return List.copyOf(overdue);
+    }
+
     String counts() {
         return answered + " answered, " + left + " left by their clients, " + lost.size() + " lost";
     }
--- a/review/standins/review/Platform.java
+++ b/review/standins/review/Platform.java
@@ -98,6 +98,7 @@
             Path temporary,
             Discovery discovery,
             String settings,
+            int sockets,
             Path log)
             throws IOException {
         InetSocketAddress operator = freeAddress();
@@ -109,7 +110,9 @@
                         + "\",\"discovery\":\""
                         + discovery.address()
                         + "\",\"seed\":\"8c1f30d27a5be964\","
-                        + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                        + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
+                        + sockets
+                        + "},"
                         + "\"known\":"
                         + discovery.list()
                         + ",\"settings\":"
