--- a/review/standins/review/Platform.java
+++ b/review/standins/review/Platform.java
@@ -56,14 +56,16 @@
 
     /** Keeps the dispatchers to one core, as DEPLOY has it, where the machine has taskset. */
     void useOneCore() throws IOException {
-        if (!Files.isExecutable(Path.of("/usr/bin/taskset"))) {
-            record.line("platform", "no taskset here; the dispatchers run on all cores");
-            return;
-        }
-        for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
-            Matcher allowed = Pattern.compile("Cpus_allowed_list:.*?([0-9]+)$").matcher(line);
-            core = allowed.matches() ? allowed.group(1) : core;
+        String own = Long.toString(ProcessHandle.current().pid());
+        try {
+            Process taskset = new ProcessBuilder("taskset", "-cp", own).start();
+            String said = new String(taskset.getInputStream().readAllBytes());
+            Matcher allowed = Pattern.compile(".*list:.*?([0-9]+)\\s*", Pattern.DOTALL).matcher(said);
+            core = allowed.matches() ? allowed.group(1) : null;
+        } catch (IOException e) {
+            core = null;
         }
+        record.line("platform", core == null ? "no taskset: all cores" : "all on core " + core);
     }
 
     /**
@@ -120,7 +122,7 @@
                         + "}");
         List<String> command = new ArrayList<>();
         if (core != null) {
-            command.addAll(List.of("/usr/bin/taskset", "-c", core));
+            command.addAll(List.of("taskset", "-c", core));
         }
         command.addAll(List.of("/bin/sh", "-c", runLine()));
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
