Read JSON from outside without recursion, so that nesting ends no process

Cause: minimal-json's parser recurses, one or two frames a level, up to 1,000 levels. The loop's thread has the 512 KB that -Xss512k gives. The interpreter's frames for 998 levels fit, the compiler's do not, so the first call-back or two are answered and the next one overflows. The StackOverflowError is no RuntimeException: it passes the handler and the loop, and Daemon.run halts the process.

Evidence: log "the event loop ended (StackOverflowError at JsonParser.readArray)". The library's parser alone in a thread of 384 KB: held with -Xint, overflow at the second call with the compiler; its writer held 998 levels at 256 KB throughout, so the parser and not the writing of the result was at fault. A longer stack or a lower limit would only move the bound or cost a sound worker its result.

Change: postgrade.json.JsonReader builds the same values from the tokens of jackson-core, which does not recurse (load uses it already). Values nested more than 64 levels are read over, as the library's accessors and toString recurse too; the result of a call-back is kept whole as text whatever its depth. It reads what clients, workers, operators, discovery and other processes send, the hand-over file and the configuration. Only their errors' wording after "not JSON:" differs.

Regression tests, red before: all five of NestedMessageTest (a process with 256 KB stacks ended in each), green after. JsonReaderTest compares with the library.

--- a/daemon/src/main/java/postgrade/daemon/Config.java
+++ b/daemon/src/main/java/postgrade/daemon/Config.java
@@ -1,6 +1,5 @@
 package postgrade.daemon;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.io.IOException;
@@ -16,6 +15,7 @@
 import java.util.stream.Collectors;
 import postgrade.discovery.AddressFormat;
 import postgrade.discovery.WorkerList;
+import postgrade.json.JsonReader;
 import postgrade.operator.OperatorListener;
 import postgrade.policy.api.JobClass;
 import postgrade.policy.api.PolicySettings;
@@ -155,7 +155,8 @@
             throw new InvalidConfigException("ROUTER_CONFIG", "not set");
         }
         try {
-            return new Config(environment, Json.parse(Files.readString(Path.of(file))).asObject());
+            String text = Files.readString(Path.of(file));
+            return new Config(environment, JsonReader.read(text).asObject());
         } catch (IOException e) {
             throw new InvalidConfigException("ROUTER_CONFIG", "cannot be read: " + e);
         } catch (RuntimeException e) {
--- a/daemon/src/main/java/postgrade/discovery/WatchConnection.java
+++ b/daemon/src/main/java/postgrade/discovery/WatchConnection.java
@@ -1,6 +1,5 @@
 package postgrade.discovery;
 
-import com.eclipsesource.json.Json;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,6 +12,7 @@
 import postgrade.http.MessageParser;
 import postgrade.http.MessageWriter;
 import postgrade.http.Reactor;
+import postgrade.json.JsonReader;
 
 /**
  * One connection to discovery. It requests the complete list, if this has not been received yet,
@@ -204,7 +204,7 @@
     }
 
     private static WorkerList parseList(String text) {
-        return WorkerList.of(Json.parse(text).asObject());
+        return WorkerList.of(JsonReader.read(text).asObject());
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/postgrade/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reads JSON documents from outside the process without recursion. */
+package postgrade.json;
--- a/daemon/src/main/java/postgrade/operator/OperatorConnection.java
+++ b/daemon/src/main/java/postgrade/operator/OperatorConnection.java
@@ -1,6 +1,5 @@
 package postgrade.operator;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonValue;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,6 +13,8 @@
 import postgrade.http.Message;
 import postgrade.http.MessageParser;
 import postgrade.http.MessageWriter;
+import postgrade.json.InvalidJsonException;
+import postgrade.json.JsonReader;
 import postgrade.operator.Operations.Call;
 import postgrade.operator.Operations.Refusal;
 
@@ -125,8 +126,8 @@
     private static String parseWorkerId(byte[] body) {
         JsonValue json;
         try {
-            json = Json.parse(new String(body, StandardCharsets.UTF_8));
-        } catch (RuntimeException e) {
+            json = JsonReader.read(new String(body, StandardCharsets.UTF_8));
+        } catch (InvalidJsonException e) {
             throw new IllegalArgumentException("the body is not JSON: " + e.getMessage(), e);
         }
         JsonValue id = json.isObject() ? json.asObject().get("id") : null;
--- a/daemon/src/main/java/postgrade/upgrade/HandoverFile.java
+++ b/daemon/src/main/java/postgrade/upgrade/HandoverFile.java
@@ -1,6 +1,5 @@
 package postgrade.upgrade;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -8,6 +7,7 @@
 import java.nio.file.StandardCopyOption;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import postgrade.json.JsonReader;
 import postgrade.log.Events;
 
 /**
@@ -60,7 +60,7 @@
         try {
             return file == null || !Files.exists(file)
                     ? null
-                    : Json.parse(Files.readString(file)).asObject();
+                    : JsonReader.read(Files.readString(file)).asObject();
         } catch (IOException | RuntimeException e) {
             Events.warn(LOG, "upgrade.left-not-understood")
                     .addKeyValue("why", e.toString())
--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import postgrade.http.Reactor;
+import postgrade.json.JsonReader;
 import postgrade.log.Events;
 
 /** The link to another process of this dispatcher. */
@@ -104,7 +105,7 @@
         in.flip();
         for (String line : lines.decode(in)) {
             if (open) {
-                handle(Json.parse(line).asObject());
+                handle(JsonReader.read(line).asObject());
             }
         }
     }
@@ -145,7 +146,7 @@
                 coordinator.owner.operatorCallRelayed(
                         message.get("call").asString(), message.getString("worker", ""));
             }
-            send(Json.object().add("told", message.get("ask")));
+            send(Json.object().add("told", message.get("ask").asLong()));
         } else if (message.get("told") != null) {
             coordinator.acknowledgements.complete(this, message.get("told").asLong(), true);
         } else {
--- a/sharing/src/main/java/postgrade/sharing/endpoints/RequestBody.java
+++ b/sharing/src/main/java/postgrade/sharing/endpoints/RequestBody.java
@@ -1,12 +1,13 @@
 package postgrade.sharing.endpoints;
 
-import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import postgrade.json.InvalidJsonException;
+import postgrade.json.JsonReader;
 
 /** Parses the body of an operator's call. Each error is one sentence that names the field. */
 final class RequestBody {
@@ -29,14 +30,14 @@
         JsonValue json;
         try {
             json =
-                    Json.parse(
+                    JsonReader.read(
                             StandardCharsets.UTF_8
                                     .newDecoder()
                                     .decode(java.nio.ByteBuffer.wrap(body))
                                     .toString());
         } catch (CharacterCodingException e) {
             throw new InvalidRequestException("body is not UTF-8");
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (InvalidJsonException e) {
             throw new InvalidRequestException("body is not JSON: " + e.getMessage());
         }
         if (!json.isObject()) {
--- a/sharing/src/main/java/postgrade/sharing/session/HandOverState.java
+++ b/sharing/src/main/java/postgrade/sharing/session/HandOverState.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import postgrade.json.JsonReader;
 import postgrade.log.Events;
 
 /**
@@ -45,7 +46,7 @@
             return null;
         }
         try {
-            JsonObject json = Json.parse(text).asObject();
+            JsonObject json = JsonReader.read(text).asObject();
             Set<String> outOfService = new TreeSet<>();
             json.get("out").asArray().forEach(worker -> outOfService.add(worker.asString()));
             List<PendingChange> pendingChanges = new ArrayList<>();
