Log why a link between processes ended, also during a join

A new process dropped its link to the running one while it joined, and the log had only "linked" and then "Address already in use": a link that ended before the loop ran was not logged, and a logged one named no place in the code. That left open whether the peer, the system or a message of this process ended it.

upgrade.unlinked is written for every peer that was linked, with the cause and its first frame.

--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -203,14 +203,14 @@
             return;
         }
         close();
-        if (id != null && key != null) {
-            Events.info(LOG, "upgrade.unlinked")
-                    .addKeyValue("peer", id)
-                    .log(
-                            "process "
-                                    + id
-                                    + " of this dispatcher is gone"
-                                    + (cause == null ? "" : " (" + cause + ")"));
+        if (id == null) {
+            return;
+        }
+        Events.info(LOG, "upgrade.unlinked")
+                .addKeyValue("peer", id)
+                .setCause(cause)
+                .log("process " + id + " of this dispatcher is gone");
+        if (key != null) {
             coordinator.owner.peersChanged();
         }
     }
