Keep what peers send during a join until the new process can handle it

Cause: Daemon's constructor joins the running processes before listener, operatorActions and extensionHost are set. From its hello on, the new process is a peer, to which the running one relays call-backs it has no attempt for, operators' calls, and the news that it stops. What comes in one read with the state was handled at once, met an unset field, and the NullPointerException counted as a malformed message: the link and the state were dropped, the link was not opened again, as the state had come, and with no peer the address counts as another program's.

The load leads to it because workers go on reporting cancelled jobs, and each such call-back is relayed.

Change: until a process announces that it serves, a link takes nothing but the state; further messages wait in their order and are handled just before the announcement, and the join stops reading once the state is there, so that at most one read waits in memory. No message of any kind can meet an incomplete owner. A peer that ends after its state leaves the state in use. A relayed message whose handling fails costs itself alone: it is logged (upgrade.relayed-failed) and not confirmed, and the link stays; it cost the link and all that was on it.

No cost on the way of a call: one comparison a message between processes.

--- a/daemon/src/main/java/postgrade/upgrade/JoinHandshake.java
+++ b/daemon/src/main/java/postgrade/upgrade/JoinHandshake.java
@@ -102,7 +102,11 @@
                                                 : Math.min(remainingMillis, RECONNECT_MILLIS))
                                 > 0;
                 for (SelectionKey key : selector.selectedKeys()) {
-                    read((PeerLink) key.attachment(), broken);
+                    PeerLink peer = (PeerLink) key.attachment();
+                    read(peer, broken);
+                    if (peer.open && peer.state != null) {
+                        key.interestOps(0); // The event loop reads what follows the state.
+                    }
                 }
                 selector.selectedKeys().clear();
                 if (!anyReady) {
--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -29,6 +29,10 @@
 
     private final LineCodec lines = new LineCodec();
     final List<Long> pendingAcknowledgements = new ArrayList<>();
+
+    /** Messages that came before this process serves, in their order. */
+    private final List<JsonObject> deferredMessages = new ArrayList<>();
+
     private SelectionKey key;
     String id;
     JsonObject state;
@@ -105,11 +109,37 @@
         in.flip();
         for (String line : lines.decode(in)) {
             if (open) {
-                handle(JsonReader.read(line).asObject());
+                receive(JsonReader.read(line).asObject());
             }
         }
     }
 
+    /**
+     * Handles a message, or keeps it until this process serves. Until then the owner is not
+     * complete, and only the state that it is created from is taken.
+     */
+    private void receive(JsonObject message) {
+        if (coordinator.serving || message.get("state") != null) {
+            handle(message);
+        } else {
+            deferredMessages.add(message);
+        }
+    }
+
+    /** Handles the messages that came before this process serves. */
+    void handleDeferredMessages() {
+        try {
+            for (JsonObject message : deferredMessages) {
+                if (open) {
+                    handle(message);
+                }
+            }
+        } catch (RuntimeException e) {
+            disconnected(e); // As for a malformed message that comes later.
+        }
+        deferredMessages.clear();
+    }
+
     private void handle(JsonObject message) {
         if (message.get("hello") != null) {
             if (message.getInt("hello", 0) != UpgradeCoordinator.PROTOCOL_VERSION
@@ -139,6 +169,23 @@
         } else if (id == null) {
             throw new IllegalArgumentException("message before hello");
         } else if (message.get("ask") != null) {
+            handleRelayed(message);
+        } else if (message.get("told") != null) {
+            coordinator.acknowledgements.complete(this, message.get("told").asLong(), true);
+        } else {
+            serving |= message.getBoolean("serving", false);
+            stopping |= message.getBoolean("stopping", false);
+            coordinator.owner.peersChanged();
+        }
+    }
+
+    /**
+     * Handles a call-back or operator call that the peer relays. One that fails is not acknowledged
+     * and costs no other message: the link stays.
+     */
+    private void handleRelayed(JsonObject message) {
+        long number = message.get("ask").asLong();
+        try {
             if (message.get("event") != null) {
                 coordinator.owner.callBackRelayed(
                         message.get("event").asString().getBytes(StandardCharsets.UTF_8));
@@ -146,14 +193,14 @@
                 coordinator.owner.operatorCallRelayed(
                         message.get("call").asString(), message.getString("worker", ""));
             }
-            send(Json.object().add("told", message.get("ask").asLong()));
-        } else if (message.get("told") != null) {
-            coordinator.acknowledgements.complete(this, message.get("told").asLong(), true);
-        } else {
-            serving |= message.getBoolean("serving", false);
-            stopping |= message.getBoolean("stopping", false);
-            coordinator.owner.peersChanged();
+        } catch (RuntimeException e) {
+            Events.warn(LOG, "upgrade.relayed-failed")
+                    .addKeyValue("peer", id)
+                    .setCause(e)
+                    .log("a message relayed by process " + id + " of this dispatcher failed");
+            return;
         }
+        send(Json.object().add("told", number));
     }
 
     /**
--- a/daemon/src/main/java/postgrade/upgrade/UpgradeCoordinator.java
+++ b/daemon/src/main/java/postgrade/upgrade/UpgradeCoordinator.java
@@ -44,7 +44,10 @@
      */
     private static final int MAX_PEERS = 4;
 
-    /** The process that the links belong to. Called on the event loop's thread. */
+    /**
+     * The process that the links belong to. Called on the event loop's thread, and not before
+     * {@link #announceServing}.
+     */
     public interface Owner {
         /** Returns the state for a new process. */
         JsonObject snapshot();
@@ -192,9 +195,15 @@
 
     // ---- State of the processes.
 
-    /** Announces that this process listens for clients. */
+    /**
+     * Announces that this process listens for clients. From now on the owner must be able to handle
+     * messages; those that came together with the state of a peer are handled first.
+     */
     public void announceServing() {
         serving = true;
+        for (PeerLink peer : new ArrayList<>(peers)) {
+            peer.handleDeferredMessages();
+        }
         broadcast(Json.object().add("serving", true));
     }
 
