--- a/review/standins-2/CallBack.java
+++ b/review/standins-2/CallBack.java
@@ -2,24 +2,30 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.BlockingDeque;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingDeque;
 
 /** Call-backs of the workers, on a few kept connections. */
 final class CallBack {
-    private static final BlockingDeque<Socket> KEPT = new LinkedBlockingDeque<>();
+    private static final Map<String, BlockingDeque<Socket>> ALL = new ConcurrentHashMap<>();
+
+    /** How long a worker waits for an answer before it repeats the call. */
+    static volatile int patienceMillis = 2000;
 
     private CallBack() {}
 
     /** Returns whether the call was answered 200 or 204. */
     static boolean send(String dispatcher, String event) {
         byte[] body = event.getBytes(StandardCharsets.UTF_8);
-        Socket socket = KEPT.pollLast();
+        BlockingDeque<Socket> kept = ALL.computeIfAbsent(dispatcher, unused -> new LinkedBlockingDeque<>());
+        Socket socket = kept.pollLast();
         try {
             if (socket == null) {
                 socket = Net.connect(dispatcher);
             }
-            socket.setSoTimeout(2000);
+            socket.setSoTimeout(patienceMillis);
             socket.getOutputStream()
                     .write(
                             Http.bytes(
@@ -29,8 +35,8 @@
                                     body));
             Http answer = Http.read(new BufferedInputStream(socket.getInputStream()));
             boolean told = answer != null && (answer.status() == 200 || answer.status() == 204);
-            if (told && !answer.closes() && KEPT.size() < 16) {
-                KEPT.add(socket);
+            if (told && !answer.closes() && kept.size() < 16) {
+                kept.add(socket);
             } else {
                 socket.close();
             }
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -89,6 +89,7 @@
 
     /** Sends a call-back, in a thread of its own. */
     void report(String job, String event) {
+        String dispatcher = this.dispatcher;
         CLOCK.execute(() -> Threads.run("call-back", () -> {
             for (int attempt = 0; attempt < 10; attempt++) {
                 if (CallBack.send(dispatcher, event)) {
