--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -75,7 +75,11 @@
         jobs.put(job, "running");
         out.write(Http.answer(202, "", ""));
         report(job, "{\"id\":\"" + job + "\",\"from\":\"" + id + "\",\"state\":\"started\"}");
-        CLOCK.schedule(() -> finish(job), runsForMillis, TimeUnit.MILLISECONDS);
+        CLOCK.schedule(() -> finish(job), runsForMillis(request), TimeUnit.MILLISECONDS);
+    }
+
+    long runsForMillis(Http request) {
+        return runsForMillis;
     }
 
     void finish(String job) {
