--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, with the JDK alone.
+# Builds the stand-ins of the cases 6 to 8, with the JDK alone.
 set -e
 cd "$(dirname "$0")/standins-2"
 rm -rf target
