--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -8,7 +8,10 @@
 /** What the cases have in common: folders, a temporary folder, the verdict. */
 abstract class Case {
     static final int HELD = 0;
-    static final int BROKEN = 1;
+    
+    /** Not 1, by which the virtual machine ends where it cannot start; run.sh makes 1 of it. */
+    static final int BROKEN = 11;
+
     static final int COULD_NOT_RUN = 2;
 
     final Path root;
--- a/review/standins-2/Handover.java
+++ b/review/standins-2/Handover.java
@@ -172,13 +172,14 @@
                 socket[0].setSoTimeout((int) deadlineMs + 10_000);
                 socket[0].getOutputStream().write(job);
                 sent = record.seconds();
+                record.add("client", "has sent " + id + (kept ? "" : " on a new connection") + ", time " + deadlineMs + " ms");
                 Http answer = Http.read(in[0]);
                 if (answer != null) {
                     boolean late = record.seconds() - sent > (deadlineMs + 550) / 1000.0;
                     count((deadlineMs == SHORT_MS ? "short " : "long ") + (late ? "late" : "" + answer.status()));
-                    if (late) {
-                        record.add("client", id + " is answered late, after " + (record.seconds() - sent));
-                    }
+                    record.add(
+                            "client",
+                            id + " is answered " + answer.status() + (late ? " late" : "") + ", after " + (record.seconds() - sent));
                     if (answer.closes()) {
                         socket[0].close();
                         socket[0] = null;
