End no attempt by a call-back that may be about an earlier one at the same worker

Cause: a call-back names request and worker but not the attempt; an earlier attempt that its call-back had ended before its 202 counted as one that cannot report any more, so the repeated call-back ended the later attempt as never run. Now an earlier attempt may report if it was written or was reported before, unless its response turned it away. On related paths: a call-back no longer ends an attempt that is not written, and a result that may be of an earlier attempt answers the client and has the later attempt cancelled.

--- a/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
+++ b/core/src/main/java/postgrade/dispatch/AttemptLifecycle.java
@@ -96,9 +96,8 @@
         PendingRequest request = attempt.request();
         request.attemptEnded();
         observer.attemptEnded(attempt.summary(evidence, timers.nowMicros()));
-        if (outcome == AttemptOutcome.SERVED && !request.isAnswered()) {
-            markAnswered(request, Answer.SERVED, DecisionReason.UNSTATED);
-            request.client().complete(result);
+        if (outcome == AttemptOutcome.SERVED) {
+            serve(request, result);
         }
         boolean requestAnswered = request.isAnswered();
         notifyPolicy(
@@ -114,6 +113,14 @@
                                         LoadReport.NONE));
     }
 
+    /** Sends a worker's result to the client, unless the request is answered already. */
+    void serve(PendingRequest request, byte[] result) {
+        if (!request.isAnswered()) {
+            markAnswered(request, Answer.SERVED, DecisionReason.UNSTATED);
+            request.client().complete(result);
+        }
+    }
+
     /** Marks a request as answered; the caller sends the answer. */
     void markAnswered(PendingRequest request, Answer answer, DecisionReason reason) {
         notifyAnswered(request, answer, reason, microsSinceArrival(request));
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -153,8 +153,9 @@
     // ---- Called by the worker side.
 
     /**
-     * Processes a worker's call-back. Reports about unknown jobs, from other workers or about ended
-     * attempts are ignored.
+     * Processes a worker's call-back, which names the request and the worker but not the attempt.
+     * Reports about unknown jobs, from other workers, about ended attempts or about attempts that
+     * the worker cannot have received yet are ignored.
      *
      * @param progress the fraction done, for {@link ReportedState#RUNNING}
      * @param result the result for {@link ReportedState#DONE}, else null
@@ -164,7 +165,7 @@
             String id, String workerId, ReportedState state, double progress, byte[] result) {
         PendingRequest request = requests.get(id);
         Attempt attempt = request == null ? null : request.inFlightAttemptAt(workerId);
-        if (attempt == null) {
+        if (attempt == null || !mayConcern(attempt, state)) {
             lifecycle.observer().reportUnmatched(id, workerId, state);
             return request != null;
         }
@@ -185,11 +186,26 @@
         return true;
     }
 
+    /**
+     * Whether a report can be about this attempt, or is a result of its request from an earlier
+     * attempt at the same worker.
+     */
+    private static boolean mayConcern(Attempt attempt, ReportedState state) {
+        return attempt.handle().isWritten()
+                || (state == ReportedState.DONE && attempt.mayReceiveStaleReports());
+    }
+
     private void endByReport(Attempt attempt, ReportedState state, byte[] result) {
-        if (state != ReportedState.DONE && attempt.mayReceiveStaleReports()) {
+        if (attempt.mayReceiveStaleReports()) {
             // A late report about an earlier attempt at this worker would end this one while it
-            // runs. So it is cancelled before the policy is notified, and counts as possibly run.
-            lifecycle.cancel(attempt, AttemptOutcome.RESET);
+            // runs. So it is cancelled before the policy is notified. A result is the answer
+            // whichever attempt it is from; any other end counts as possibly run.
+            if (state == ReportedState.DONE) {
+                lifecycle.serve(attempt.request(), result);
+                lifecycle.cancel(attempt, AttemptOutcome.CANCELLED);
+            } else {
+                lifecycle.cancel(attempt, AttemptOutcome.RESET);
+            }
         } else {
             attempt.handle().endedByReport();
             lifecycle.end(attempt, state.outcome().orElseThrow(), EndEvidence.REPORTED, result);
--- a/core/src/main/java/postgrade/dispatch/WorkerTransport.java
+++ b/core/src/main/java/postgrade/dispatch/WorkerTransport.java
@@ -42,8 +42,9 @@
         boolean isWritten();
 
         /**
-         * Whether a call-back may still arrive: the worker has accepted the job, or has not
-         * responded.
+         * Whether a call-back about the attempt may still arrive, as long as its request is open:
+         * the worker has or may have received the job, and has not turned it away by its response.
+         * This includes an attempt that a call-back has ended, as call-backs are repeated.
          */
         boolean mayReport();
 
--- a/daemon/src/main/java/postgrade/worker/AttemptRequest.java
+++ b/daemon/src/main/java/postgrade/worker/AttemptRequest.java
@@ -36,6 +36,7 @@
     private boolean accepted;
     private boolean possiblyDelivered;
     private boolean startReported;
+    private boolean endReported;
 
     private final WireTimes wireTimes = new WireTimes();
     private final JobDelivery delivery;
@@ -267,11 +268,12 @@
 
     @Override
     public boolean mayReport() {
-        return accepted || possiblyDelivered;
+        return endReported || isWritten();
     }
 
     @Override
     public void endedByReport() {
+        endReported = true;
         if (markEnded()) {
             stopCancellation();
             releaseConnection();
