Bound the memory held for all peers by one sum; who holds most loses it first

Cause: each connection has limits, their sum had none: the count of held bytes was asked only before a body was taken. http.MemoryBudget now counts what connections buffer (incomplete heads and bodies, input ahead of answers, unsent output; clients, workers, operators) and what is reserved (bodies under way, partial lists, links). The body of a request goes with its answer; buffers of long lines are not kept.

--- a/core/src/main/java/postgrade/dispatch/PendingRequest.java
+++ b/core/src/main/java/postgrade/dispatch/PendingRequest.java
@@ -21,7 +21,7 @@
     private final double slots;
     private final double memory;
     private final long deadlineMicros;
-    private final RequestPayload payload;
+    private RequestPayload payload;
     private final ResponseHandler client;
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int attemptsInFlight;
@@ -174,8 +174,13 @@
         return answered;
     }
 
+    /**
+     * Marks that no answer is due. The body is released: nothing more is written for the request,
+     * although attempts of it may be in flight for long.
+     */
     void markAnswered() {
         answered = true;
+        payload = payload.withoutBody();
         overdueTimer.cancel();
     }
 
--- a/core/src/main/java/postgrade/dispatch/RequestPayload.java
+++ b/core/src/main/java/postgrade/dispatch/RequestPayload.java
@@ -3,6 +3,11 @@
 /** The part of a client's request that is forwarded to a worker unchanged. */
 public final class RequestPayload {
 
+    private static final byte[] NO_BODY = {};
+
+    /** Heads up to this length count as part of the request's own objects. */
+    private static final int SMALL_HEAD_CHARS = 4 << 10;
+
     private final String method;
     private final String target;
     private final String contentType;
@@ -54,4 +59,15 @@
     public byte[] body() {
         return body;
     }
+
+    /** Returns the memory that the body takes, and the head if that is long, in bytes. */
+    public long heldBytes() {
+        int headChars = target.length() + (idempotencyKey == null ? 0 : idempotencyKey.length());
+        return (long) body.length + (headChars > SMALL_HEAD_CHARS ? headChars : 0);
+    }
+
+    /** Returns the payload without its body. */
+    RequestPayload withoutBody() {
+        return new RequestPayload(method, target, contentType, idempotencyKey, NO_BODY);
+    }
 }
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -43,6 +43,7 @@
     private final Map<String, PendingRequest> requests = new HashMap<>();
     private final EventBatch batch;
     private final AttemptLifecycle lifecycle;
+    private final ReportMatcher reports;
     private WorkerTransport transport;
     private int maxRequests;
     private boolean allowsConcurrentAttempts;
@@ -67,6 +68,7 @@
         this.allowsConcurrentAttempts = allowsConcurrentAttempts;
         batch = new EventBatch(timers, errors);
         lifecycle = new AttemptLifecycle(timers, errors, batch, this::policy);
+        reports = new ReportMatcher(timers, lifecycle, this::policy);
         ActionQueue actions =
                 new ActionQueue(
                         timers, errors, batch, lifecycle, requests, this::transport, this::policy);
@@ -153,9 +155,7 @@
     // ---- Called by the worker side.
 
     /**
-     * Processes a worker's call-back, which names the request and the worker but not the attempt.
-     * Reports about unknown jobs, from other workers, about ended attempts or about attempts that
-     * the worker cannot have received yet are ignored.
+     * Processes a worker's call-back; see {@link ReportMatcher}.
      *
      * @param progress the fraction done, for {@link ReportedState#RUNNING}
      * @param result the result for {@link ReportedState#DONE}, else null
@@ -164,54 +164,14 @@
     public boolean workerReported(
             String id, String workerId, ReportedState state, double progress, byte[] result) {
         PendingRequest request = requests.get(id);
-        Attempt attempt = request == null ? null : request.inFlightAttemptAt(workerId);
-        if (attempt == null || !mayConcern(attempt, state)) {
+        if (request == null) {
             lifecycle.observer().reportUnmatched(id, workerId, state);
-            return request != null;
-        }
-        int number = attempt.number();
-        switch (state) {
-            case STARTED -> {
-                attempt.recordStart(timers.nowMicros());
-                attempt.handle().startedByReport();
-                lifecycle.notifyPolicy(request, nowNs -> policy.attemptStarted(nowNs, id, number));
-            }
-            case RUNNING -> {
-                attempt.handle().startedByReport();
-                lifecycle.notifyPolicy(
-                        request, nowNs -> policy.attemptProgressed(nowNs, id, number, progress));
-            }
-            case DONE, FAILED, RETURNED, LOST -> endByReport(attempt, state, result);
+            return false;
         }
+        reports.process(request, workerId, state, progress, result);
         return true;
     }
 
-    /**
-     * Whether a report can be about this attempt, or is a result of its request from an earlier
-     * attempt at the same worker.
-     */
-    private static boolean mayConcern(Attempt attempt, ReportedState state) {
-        return attempt.handle().isWritten()
-                || (state == ReportedState.DONE && attempt.mayReceiveStaleReports());
-    }
-
-    private void endByReport(Attempt attempt, ReportedState state, byte[] result) {
-        if (attempt.mayReceiveStaleReports()) {
-            // A late report about an earlier attempt at this worker would end this one while it
-            // runs. So it is cancelled before the policy is notified. A result is the answer
-            // whichever attempt it is from; any other end counts as possibly run.
-            if (state == ReportedState.DONE) {
-                lifecycle.serve(attempt.request(), result);
-                lifecycle.cancel(attempt, AttemptOutcome.CANCELLED);
-            } else {
-                lifecycle.cancel(attempt, AttemptOutcome.RESET);
-            }
-        } else {
-            attempt.handle().endedByReport();
-            lifecycle.end(attempt, state.outcome().orElseThrow(), EndEvidence.REPORTED, result);
-        }
-    }
-
     /** The transport has found that an attempt has ended, by the given evidence. */
     public void attemptEnded(Attempt attempt, AttemptOutcome outcome, EndEvidence evidence) {
         lifecycle.end(attempt, outcome, evidence, null);
--- a/daemon/src/main/java/postgrade/client/ClientConnection.java
+++ b/daemon/src/main/java/postgrade/client/ClientConnection.java
@@ -55,7 +55,9 @@
     /** Whether a request has been rejected since the last sweep. */
     private boolean rejectedSinceSweep;
 
-    private long accountedBytes;
+    /** Whether input behind the request that awaits its answer has been dropped. */
+    private boolean discardsInput;
+
     private final ArrivalTimes arrivalTimes;
 
     /** The earliest time at which the bytes being parsed can have arrived. */
@@ -84,6 +86,9 @@
         recordArrival(bytes);
         timeouts.bytesReceived(
                 listener.timers.nowMicros(), !state.awaitsAnswer() && parser.isAtMessageStart());
+        if (discardsInput) {
+            return;
+        }
         if (pipelined.hasRemaining()) {
             if (pipelined.remaining() + bytes.remaining() > MAX_PIPELINED_BYTES) {
                 // Rejected with an answer: closing a socket that holds unread bytes would reset the
@@ -100,7 +105,7 @@
             throw new BadMessageException(400, "more bytes than the request has");
         }
         parseRequests(bytes);
-        if (parser.bodyBytesReceived() > SMALL_BODY_BYTES && listener.exceedsMemoryLimit()) {
+        if (!listener.fitsMemoryLimit(parser.bodyBytesReceived())) {
             rejectIncompleteRequest();
         }
         // Limits the loop's time for a peer that sends the same invalid request again as soon as it
@@ -169,20 +174,27 @@
                 state.awaitsAnswer() && bytes.hasRemaining()
                         ? ByteBuffer.allocate(bytes.remaining()).put(bytes).flip()
                         : EMPTY;
-        updateHeldBytes();
+        connection.updateMemory();
+    }
+
+    @Override
+    public long heldBytes() {
+        return parser.heldBytes() + pipelined.capacity();
     }
 
-    /** Updates the listener's count of the bytes held for this connection. */
-    private void updateHeldBytes() {
-        long heldNow =
-                connection.isOpen()
-                        ? parser.bodyBytesReceived()
-                                + pipelined.remaining()
-                                + connection.unsentBytes()
-                                + (exchange == null ? 0 : exchange.bodyBytes)
-                        : 0;
-        listener.addHeldBytes(heldNow - accountedBytes);
-        accountedBytes = heldNow;
+    /**
+     * Drops the input that is buffered. An incomplete request is rejected. A request that awaits
+     * its answer still gets it, but the connection ends with it, as what followed has been dropped.
+     */
+    @Override
+    public boolean releaseMemory(Connection source) {
+        if (state.awaitsAnswer()) {
+            pipelined = EMPTY;
+            discardsInput = true;
+            return true;
+        }
+        rejectIncompleteRequest();
+        return state == ConnectionState.ANSWERING;
     }
 
     // ---- Complete requests and their answers.
@@ -207,6 +219,11 @@
     /** Reverts {@link #awaitAnswer}: the request was not accepted. */
     void cancelAwait() {
         transitionTo(ConnectionState.TAKING);
+        endExchange();
+    }
+
+    private void endExchange() {
+        listener.requestMemory.grow(-exchange.reservedBytes);
         exchange = null;
     }
 
@@ -246,7 +263,8 @@
 
     private void writeResponse(int status, byte[] body, long retryAfterMicros, boolean keepsAlive) {
         timeouts.answerWritten(listener.timers.nowMicros());
-        boolean keep = keepsAlive && !(listener.closesAfterAnswer() && carriedJob);
+        boolean keep =
+                keepsAlive && !discardsInput && !(listener.closesAfterAnswer() && carriedJob);
         connection.write(
                 MessageWriter.response(status)
                         .header("Retry-After", formatSeconds(retryAfterMicros))
@@ -286,7 +304,6 @@
         } else if (allSent && timeouts.isEvictable(nowMicros, state, partial)) {
             connection.setIdle(true, timeouts.isOnProbation(nowMicros, partial));
         }
-        updateHeldBytes();
     }
 
     /**
@@ -316,7 +333,6 @@
         if (state == ConnectionState.READING && !parser.isAtMessageStart()) {
             parser = MessageParser.forRequests(); // Releases the buffered body.
             writeResponse(429, NO_BODY, OVERLOAD_RETRY_MICROS, false);
-            updateHeldBytes();
         }
     }
 
@@ -352,14 +368,12 @@
         pipelined = EMPTY;
         reportDisconnect();
         answer(e.status(), e.getMessage() + "\n", false);
-        updateHeldBytes();
     }
 
     @Override
     public void closed(Connection source) {
         transitionTo(ConnectionState.CLOSED);
         listener.closed(this);
-        updateHeldBytes();
         reportDisconnect();
     }
 
@@ -381,7 +395,7 @@
     private void reportDisconnect() {
         if (exchange != null) {
             Exchange abandoned = exchange;
-            exchange = null;
+            endExchange();
             if (abandoned.request != null) {
                 listener.tracker.clientDisconnected(abandoned.request);
             }
--- a/daemon/src/main/java/postgrade/client/ClientListener.java
+++ b/daemon/src/main/java/postgrade/client/ClientListener.java
@@ -19,6 +19,7 @@
 import postgrade.dispatch.Timers;
 import postgrade.http.ArrivalTimes;
 import postgrade.http.BindFailure;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.lifecycle.Lifecycle;
 import postgrade.log.Events;
@@ -29,9 +30,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     private static final int BACKLOG = 1024;
 
-    /** The most bytes of complete and partial bodies held; well below the heap size. */
-    private static final long MAX_HELD_BYTES = 24 << 20;
-
     private static final long SWEEP_MICROS = 50_000;
 
     /**
@@ -57,6 +55,9 @@
     private final InetSocketAddress address;
     final CallBackRelay relay;
 
+    /** The memory of the requests that await their answers. */
+    final MemoryBudget.Reservation requestMemory;
+
     /** Null if no extension reads headers. */
     ExtensionHeaders extensionHeaders;
 
@@ -70,7 +71,6 @@
     private SocketChannel reservedSocket;
 
     private SelectionKey key;
-    private long bytesHeld;
     private boolean paused;
 
     /** Arrival times of the backlog. */
@@ -111,6 +111,7 @@
         this.canServe = canServe;
         this.lifecycle = lifecycle;
         this.relay = relay;
+        requestMemory = reactor.memory().reservation();
         if (reserves) {
             reservedSocket = SocketChannel.open();
             reservedSocket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -316,16 +317,13 @@
         }
     }
 
-    void addHeldBytes(long change) {
-        bytesHeld += change;
-    }
-
     /**
-     * Returns whether the memory limit is exceeded: bodies of the greatest length on every socket
-     * would not fit.
+     * Returns whether a request of this length can be accepted beside those under way. Short ones
+     * are accepted in any case.
      */
-    boolean exceedsMemoryLimit() {
-        return bytesHeld > MAX_HELD_BYTES;
+    boolean fitsMemoryLimit(long requestBytes) {
+        return requestBytes <= ClientConnection.SMALL_BODY_BYTES
+                || requestMemory.canGrow(requestBytes);
     }
 
     void closed(ClientConnection connection) {
--- a/daemon/src/main/java/postgrade/client/Exchange.java
+++ b/daemon/src/main/java/postgrade/client/Exchange.java
@@ -17,13 +17,22 @@
     /** Null for a call-back. */
     PendingRequest request;
 
-    int bodyBytes;
+    /** The memory reserved for the request until it is answered or its client has disconnected. */
+    long reservedBytes;
 
     Exchange(ClientConnection connection, boolean keepsAlive) {
         this.connection = connection;
         this.keepsAlive = keepsAlive;
     }
 
+    /**
+     * Reserves memory for the request, which the connection returns with the end of the exchange.
+     */
+    void reserve(long bytes) {
+        reservedBytes = bytes;
+        connection.listener.requestMemory.grow(bytes);
+    }
+
     @Override
     public void complete(byte[] result) {
         connection.answer(this, 200, result, 0);
--- a/daemon/src/main/java/postgrade/client/RequestRouter.java
+++ b/daemon/src/main/java/postgrade/client/RequestRouter.java
@@ -62,12 +62,18 @@
             return;
         }
         Exchange exchange = connection.awaitAnswer(request.isKeepAlive());
-        if (request.body().length > ClientConnection.SMALL_BODY_BYTES
-                && listener.exceedsMemoryLimit()) {
+        RequestPayload payload =
+                new RequestPayload(
+                        request.method(),
+                        request.target(),
+                        request.header("content-type"),
+                        request.header("idempotency-key"),
+                        request.body());
+        if (!listener.fitsMemoryLimit(payload.heldBytes())) {
             exchange.reject(ClientConnection.OVERLOAD_RETRY_MICROS);
             return;
         }
-        exchange.bodyBytes = request.body().length;
+        exchange.reserve(payload.heldBytes());
         exchange.request =
                 new PendingRequest(
                         job.id(),
@@ -77,12 +83,7 @@
                         job.slots(),
                         job.memory(),
                         listener.timers.nowMicros() + job.deadlineMicros(),
-                        new RequestPayload(
-                                request.method(),
-                                request.target(),
-                                request.header("content-type"),
-                                request.header("idempotency-key"),
-                                request.body()),
+                        payload,
                         exchange);
         exchange.request.setReadDelay(listener.timers.nowMicros() - connection.arrivedMicros());
         if (listener.tracker.submit(exchange.request)) {
--- a/daemon/src/main/java/postgrade/daemon/EventLoop.java
+++ b/daemon/src/main/java/postgrade/daemon/EventLoop.java
@@ -14,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import postgrade.dispatch.Timers;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.http.ReadBufferPool;
 import postgrade.http.SocketBudget;
@@ -40,6 +41,9 @@
      */
     private static final long LATE_ITERATION_MICROS = 10_000;
 
+    /** Releases of memory are logged no more often. */
+    private static final long MEMORY_LOG_INTERVAL_MICROS = 1_000_000;
+
     /** A wait that took longer did block, so no channel was ready when it began. */
     private static final long MIN_WAIT_MICROS = 1_000;
 
@@ -56,6 +60,7 @@
 
     private final Selector selector;
     private final SocketBudget sockets;
+    private final MemoryBudget memory = new MemoryBudget();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private final ReadBufferPool bufferPool = new ReadBufferPool();
     private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
@@ -66,6 +71,9 @@
     private long readySinceMicros;
     private int consecutiveFailedWaits;
     private long nextTimerNumber;
+    private final Runnable enforceMemoryLimit = this::enforceMemoryLimit;
+    private int memoryReleases;
+    private long memoryLogMicros;
     private volatile boolean stopped;
     private final Queue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
 
@@ -107,6 +115,7 @@
                 }
             }
             handler.runBatch();
+            runGuarded(enforceMemoryLimit);
         }
         selector.close();
     }
@@ -167,11 +176,27 @@
                 Handler handler = (Handler) key.attachment();
                 if (handler.order() == order && key.isValid()) {
                     dispatch(key, handler);
+                    runGuarded(enforceMemoryLimit);
                 }
             }
         }
     }
 
+    private void enforceMemoryLimit() {
+        memoryReleases += memory.enforce();
+        if (memoryReleases > 0 && nowMicros >= memoryLogMicros) {
+            Events.warn(LOG, "memory.released")
+                    .addKeyValue("peers", memoryReleases)
+                    .addKeyValue("used", memory.usedBytes())
+                    .log(
+                            "peers held too much memory; taken from those that held the most: "
+                                    + memoryReleases
+                                    + " times");
+            memoryReleases = 0;
+            memoryLogMicros = nowMicros + MEMORY_LOG_INTERVAL_MICROS;
+        }
+    }
+
     private void dispatch(SelectionKey key, Handler handler) {
         try {
             handler.ready(key);
@@ -260,6 +285,11 @@
         return sockets;
     }
 
+    @Override
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     /** A timer in the heap; a cancelled one stays there without its task until it is due. */
     private static final class ScheduledTask implements Timer, Comparable<ScheduledTask> {
         private final long dueMicros;
--- a/daemon/src/main/java/postgrade/discovery/WatchConnection.java
+++ b/daemon/src/main/java/postgrade/discovery/WatchConnection.java
@@ -8,6 +8,7 @@
 import postgrade.dispatch.Timers;
 import postgrade.http.BadMessageException;
 import postgrade.http.Connection;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Message;
 import postgrade.http.MessageParser;
 import postgrade.http.MessageWriter;
@@ -66,10 +67,14 @@
     private final WatchTimeouts timeouts;
     private final Timers timers;
     private final MessageParser parser = MessageParser.forStreamingResponse(this::bodyReceived);
-    private final ByteArrayOutputStream list = new ByteArrayOutputStream();
+    private ByteArrayOutputStream list = new ByteArrayOutputStream();
     private final WatchFrameDecoder decoder = new WatchFrameDecoder(this);
     private boolean fetchesList;
     private Connection connection;
+
+    /** The memory of a partial list; null until the connection is opened. */
+    private MemoryBudget.Reservation memory;
+
     private Timers.Timer silenceTimer;
     private int frames;
     private long lastReadMicros = -1;
@@ -98,6 +103,7 @@
 
     /** Starts to connect. The owner is notified if this fails at once. */
     void open(Reactor reactor, InetSocketAddress address) {
+        memory = reactor.memory().reservation();
         try {
             connection = Connection.open(reactor, address, this, true);
         } catch (IOException e) {
@@ -110,6 +116,7 @@
         silenceTimer.cancel();
         if (connection != null) {
             connection.close();
+            memory.resize(0);
         }
     }
 
@@ -160,6 +167,16 @@
     @Override
     public void received(Connection source, ByteBuffer bytes) throws BadMessageException {
         lastReadMicros = timers.nowMicros();
+        try {
+            parse(bytes);
+        } finally {
+            if (connection.isOpen()) {
+                memory.resize(parser.heldBytes() + list.size() + decoder.heldBytes());
+            }
+        }
+    }
+
+    private void parse(ByteBuffer bytes) throws BadMessageException {
         try {
             Message response = parser.parse(bytes);
             if (response != null && fetchesList && response.status() == OK) {
@@ -180,7 +197,7 @@
      */
     private void listReceived(boolean staysOpen) {
         owner.completeList(parseList(list.toString(StandardCharsets.UTF_8)));
-        list.reset();
+        list = new ByteArrayOutputStream(); // Frees the buffer of a long list.
         fetchesList = false;
         silenceTimer.cancel();
         if (staysOpen) {
--- a/daemon/src/main/java/postgrade/discovery/WatchFrameDecoder.java
+++ b/daemon/src/main/java/postgrade/discovery/WatchFrameDecoder.java
@@ -14,7 +14,7 @@
     private static final int MAX_OBJECT_BYTES = 4 << 20;
 
     private final FrameHandler handler;
-    private final ByteArrayOutputStream object = new ByteArrayOutputStream();
+    private ByteArrayOutputStream object = new ByteArrayOutputStream();
     private int depth;
     private boolean inString;
     private boolean escaped;
@@ -50,6 +50,11 @@
         }
     }
 
+    /** Returns the bytes that are buffered of an incomplete object. */
+    int heldBytes() {
+        return object.size();
+    }
+
     private void decodeInObject(byte next) {
         object.write(next);
         if (inString) {
@@ -62,7 +67,7 @@
         } else if (next == '}' && --depth == 0) {
             afterObject = true;
             String json = object.toString(StandardCharsets.UTF_8);
-            object.reset();
+            object = new ByteArrayOutputStream(); // Frees the buffer of a long object.
             handler.object(json);
         }
     }
--- a/daemon/src/main/java/postgrade/http/Connection.java
+++ b/daemon/src/main/java/postgrade/http/Connection.java
@@ -14,7 +14,7 @@
  * One TCP connection on the event loop. Its owner is notified of received bytes and of its end;
  * writes are buffered until they are sent.
  */
-public final class Connection implements Reactor.Handler {
+public final class Connection implements Reactor.Handler, MemoryBudget.Holder {
 
     /**
      * The maximum number of reads in one call of {@link #readPending}. The end of the stream lies
@@ -22,6 +22,9 @@
      */
     private static final int MAX_PENDING_READS = 32;
 
+    /** The objects around the bytes of an unsent part. */
+    private static final int PART_OVERHEAD_BYTES = 80;
+
     /** The owner of a connection, which is notified of its events. */
     public interface Owner {
         /** An outgoing connection has been established. */
@@ -49,6 +52,25 @@
         default void evicted(Connection c) {
             closed(c);
         }
+
+        /**
+         * Returns the bytes that the owner buffers for this connection and can release, estimated
+         * with their objects.
+         */
+        default long heldBytes() {
+            return 0;
+        }
+
+        /**
+         * The process holds too much memory and this connection holds the most of it. The owner
+         * releases what it buffers, if it can do so and keep the connection; unsent bytes have been
+         * found to be the smaller part.
+         *
+         * @return whether it did; otherwise the connection is closed
+         */
+        default boolean releaseMemory(Connection c) {
+            return false;
+        }
     }
 
     private final Reactor reactor;
@@ -56,6 +78,10 @@
     private final Owner owner;
     private final boolean highPriority;
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+
+    /** The lengths of the unsent parts, of which the first may be sent in part. */
+    private long queuedBytes;
+
     private SelectionKey key;
     private boolean connecting;
     private boolean closing;
@@ -134,6 +160,14 @@
 
     @Override
     public void ready(SelectionKey ready) throws IOException {
+        try {
+            serve(ready);
+        } finally {
+            updateMemory();
+        }
+    }
+
+    private void serve(SelectionKey ready) throws IOException {
         if (connecting) {
             reactor.systemCalls().finishConnect(channel);
             connecting = false;
@@ -190,6 +224,7 @@
             failed(e);
         } finally {
             reactor.releaseBuffer(buffer);
+            updateMemory();
         }
     }
 
@@ -222,6 +257,7 @@
         boolean wasEmpty = unsent.isEmpty();
         for (byte[] part : parts) {
             unsent.add(ByteBuffer.wrap(part));
+            queuedBytes += part.length;
         }
         if (wasEmpty && !connecting) {
             try {
@@ -231,6 +267,7 @@
                 // is not notified inside its own call.
             }
         }
+        updateMemory();
     }
 
     private void flush() throws IOException {
@@ -239,7 +276,7 @@
             reactor.systemCalls().write(channel, unsent.toArray(new ByteBuffer[0]));
         }
         while (!unsent.isEmpty() && !unsent.peek().hasRemaining()) {
-            unsent.poll();
+            queuedBytes -= unsent.poll().capacity();
         }
         updateInterest();
         if (unsent.isEmpty() && closing) {
@@ -268,12 +305,30 @@
         return !connecting && unsent.isEmpty();
     }
 
+    /** Returns the bytes that have been written and not passed to the operating system yet. */
     public long unsentBytes() {
-        long sum = 0;
-        for (ByteBuffer b : unsent) {
-            sum += b.remaining();
+        return unsent.isEmpty() ? 0 : queuedBytes - unsent.peek().position();
+    }
+
+    // ---- Memory.
+
+    /** Records in the process's budget what is held for this connection now. */
+    public void updateMemory() {
+        reactor.memory().update(this, closed ? 0 : unsentMemory() + owner.heldBytes());
+    }
+
+    private long unsentMemory() {
+        return queuedBytes + (long) unsent.size() * PART_OVERHEAD_BYTES;
+    }
+
+    @Override
+    public void releaseMemory() {
+        boolean released = unsentMemory() <= owner.heldBytes() && owner.releaseMemory(this);
+        if (!released && !closed) {
+            close();
+            owner.evicted(this);
         }
-        return sum;
+        updateMemory();
     }
 
     public boolean isOpen() {
@@ -342,6 +397,7 @@
             return;
         }
         closed = true;
+        updateMemory();
         reactor.sockets().updateIdle(this, false, false);
         reactor.sockets().release();
         try {
--- a/daemon/src/main/java/postgrade/http/Message.java
+++ b/daemon/src/main/java/postgrade/http/Message.java
@@ -14,6 +14,9 @@
     /** Set for a response; 0 in a request. */
     int status;
 
+    /** The length of the head's texts, in characters. */
+    int textLength;
+
     boolean http10;
     byte[] body = {};
     final List<String> names = new ArrayList<>(12);
--- a/daemon/src/main/java/postgrade/http/MessageParser.java
+++ b/daemon/src/main/java/postgrade/http/MessageParser.java
@@ -18,6 +18,11 @@
     static final int MAX_HEAD_BYTES = 16 << 10;
     static final int MAX_HEADERS = 64;
     private static final int SMALL_BODY_BYTES = 256;
+    private static final int SMALL_LINE_BYTES = 256;
+
+    /** The objects around the name and the value of a header. */
+    private static final int HEADER_OVERHEAD_BYTES = 120;
+
     private static final int MAX_STREAMED_CHUNK_BYTES = 16 << 20;
 
     /** Matches any prefix of a valid start line of a request. */
@@ -40,7 +45,7 @@
     private final int maxBodyBytes;
     private State state = State.START_LINE;
     private Message message = new Message();
-    private byte[] line = new byte[256];
+    private byte[] line = new byte[SMALL_LINE_BYTES];
     private int lineLength;
     private int headLength;
     private long remaining;
@@ -110,6 +115,19 @@
         return body.size();
     }
 
+    /**
+     * Returns the memory that the incomplete message takes, estimated with its objects; 0 between
+     * messages.
+     */
+    public long heldBytes() {
+        return isAtMessageStart()
+                ? 0
+                : line.length
+                        + 2L * body.size() // Its buffer doubles.
+                        + message.textLength
+                        + (long) message.names.size() * HEADER_OVERHEAD_BYTES;
+    }
+
     /**
      * Consumes bytes up to the end of one message at most. Returns the message once it is complete,
      * null until then.
@@ -145,6 +163,9 @@
             body = new ByteArrayOutputStream(SMALL_BODY_BYTES);
         }
         body.reset();
+        if (line.length > SMALL_LINE_BYTES) {
+            line = new byte[SMALL_LINE_BYTES];
+        }
         state = State.START_LINE;
         headLength = 0;
         return finished;
@@ -225,6 +246,7 @@
             }
             message.method = words[0];
             message.target = words[1];
+            message.textLength = text.length();
         } else {
             message.status = (int) parseNumber(words[1], 10, 999, 400);
             if (message.status < 100) {
@@ -248,6 +270,7 @@
         }
         message.names.add(text.substring(0, colon).toLowerCase(Locale.ROOT));
         message.values.add(value);
+        message.textLength += text.length();
     }
 
     /** Returns true if the message has no body. */
--- a/daemon/src/main/java/postgrade/http/Reactor.java
+++ b/daemon/src/main/java/postgrade/http/Reactor.java
@@ -31,6 +31,9 @@
 
     SocketBudget sockets();
 
+    /** Returns the limit on the memory held for all peers of the process. */
+    MemoryBudget memory();
+
     /** Returns the system calls by which channels are read, written, accepted and connected. */
     default SystemCalls systemCalls() {
         return SystemCalls.REAL;
--- a/daemon/src/main/java/postgrade/operator/OperatorConnection.java
+++ b/daemon/src/main/java/postgrade/operator/OperatorConnection.java
@@ -193,6 +193,11 @@
         }
     }
 
+    @Override
+    public long heldBytes() {
+        return parser.heldBytes();
+    }
+
     @Override
     public void closed(Connection c) {
         expiryTimer.cancel();
--- a/daemon/src/main/java/postgrade/operator/OperatorListener.java
+++ b/daemon/src/main/java/postgrade/operator/OperatorListener.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import postgrade.dispatch.Timers;
 import postgrade.http.BindFailure;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
 import postgrade.log.Events;
@@ -123,4 +124,9 @@
     public SocketBudget sockets() {
         return socketBudget;
     }
+
+    @Override
+    public MemoryBudget memory() {
+        return loop.memory();
+    }
 }
--- a/daemon/src/main/java/postgrade/upgrade/LineCodec.java
+++ b/daemon/src/main/java/postgrade/upgrade/LineCodec.java
@@ -21,8 +21,11 @@
     /** Bounds the messages queued for a peer that does not read. */
     private static final int MAX_UNSENT_MESSAGES = 256;
 
-    private final ByteArrayOutputStream partialLine = new ByteArrayOutputStream();
+    private static final int MAX_UNSENT_BYTES = 4 << 20;
+
+    private ByteArrayOutputStream partialLine = new ByteArrayOutputStream();
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private int unsentBytes;
 
     /** Consumes all of the input and returns the lines that it completes. */
     List<String> decode(ByteBuffer in) throws IOException {
@@ -31,7 +34,7 @@
             byte b = in.get();
             if (b == '\n') {
                 complete.add(partialLine.toString(StandardCharsets.UTF_8));
-                partialLine.reset();
+                partialLine = new ByteArrayOutputStream(); // Frees the buffer of a long line.
             } else {
                 partialLine.write(b);
                 if (partialLine.size() > MAX_LINE_BYTES) {
@@ -42,19 +45,27 @@
         return complete;
     }
 
+    /** Queues a message, or drops it if too much is queued. */
     void enqueue(String text) {
-        if (unsent.size() < MAX_UNSENT_MESSAGES) {
-            unsent.add(ByteBuffer.wrap((text + "\n").getBytes(StandardCharsets.UTF_8)));
+        byte[] line = (text + "\n").getBytes(StandardCharsets.UTF_8);
+        if (unsent.size() < MAX_UNSENT_MESSAGES && unsentBytes + line.length <= MAX_UNSENT_BYTES) {
+            unsent.add(ByteBuffer.wrap(line));
+            unsentBytes += line.length;
         }
     }
 
+    /** Returns the bytes buffered in both directions. */
+    int heldBytes() {
+        return partialLine.size() + unsentBytes;
+    }
+
     void writeTo(WritableByteChannel channel) throws IOException {
         while (!unsent.isEmpty()) {
             channel.write(unsent.peek());
             if (unsent.peek().hasRemaining()) {
                 return;
             }
-            unsent.poll();
+            unsentBytes -= unsent.poll().capacity();
         }
     }
 
--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.json.JsonReader;
 import postgrade.log.Events;
@@ -28,6 +29,7 @@
     final Path file;
 
     private final LineCodec lines = new LineCodec();
+    private final MemoryBudget.Reservation memory;
     final List<Long> pendingAcknowledgements = new ArrayList<>();
 
     /** Messages that came before this process serves, in their order. */
@@ -44,6 +46,7 @@
         this.coordinator = coordinator;
         this.channel = channel;
         this.file = file;
+        memory = coordinator.reactor.memory().reservation();
     }
 
     void register() {
@@ -63,6 +66,11 @@
             // The read side reports the broken link, so that the owner is not called back from
             // within its own call.
         }
+        updateMemory();
+    }
+
+    private void updateMemory() {
+        memory.resize(open ? lines.heldBytes() : 0);
     }
 
     private void flush() throws IOException {
@@ -96,6 +104,7 @@
                 disconnected(e); // A peer that sends malformed messages must not stop this process.
             }
         }
+        updateMemory();
     }
 
     void read() throws IOException {
@@ -229,6 +238,7 @@
 
     private void close() {
         open = false;
+        updateMemory();
         coordinator.peers.remove(this);
         try {
             channel.close();
--- a/daemon/src/main/java/postgrade/worker/AttemptRequest.java
+++ b/daemon/src/main/java/postgrade/worker/AttemptRequest.java
@@ -84,7 +84,7 @@
                 .header("X-Deadline", attempt.timeLeftMicros(timers.nowMicros()) + "u")
                 .header("Idempotency-Key", payload.idempotencyKey())
                 .header("Content-Type", payload.contentType())
-                .headFor(payload.body());
+                .headFor(body());
     }
 
     @Override
--- a/daemon/src/main/java/postgrade/worker/WorkerConnection.java
+++ b/daemon/src/main/java/postgrade/worker/WorkerConnection.java
@@ -186,6 +186,11 @@
         }
     }
 
+    @Override
+    public long heldBytes() {
+        return parser.heldBytes();
+    }
+
     /** Our own end, which settles nothing. */
     @Override
     public void evicted(Connection c) {
--- a/daemon/src/main/java/postgrade/worker/WorkerRequest.java
+++ b/daemon/src/main/java/postgrade/worker/WorkerRequest.java
@@ -47,6 +47,11 @@
      */
     abstract byte[] head();
 
+    /** Returns the body, which is empty once the request has been written. */
+    byte[] body() {
+        return body;
+    }
+
     void writeTo(Connection transport) {
         if (body.length == 0) {
             transport.write(head());
--- a/daemon/src/test/java/postgrade/discovery/ManualEventLoop.java
+++ b/daemon/src/test/java/postgrade/discovery/ManualEventLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import postgrade.dispatch.Timers;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
 import postgrade.http.SystemCalls;
@@ -25,6 +26,7 @@
 
     private final Selector selector;
     private final SocketBudget sockets = new SocketBudget(100);
+    private final MemoryBudget memory = new MemoryBudget();
     private final ByteBuffer buffer = ByteBuffer.allocate(64 << 10);
     private final PriorityQueue<ScheduledTask> scheduledTasks = new PriorityQueue<>();
     private long nowMicros;
@@ -149,6 +151,11 @@
         return buffer;
     }
 
+    @Override
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     @Override
     public SocketBudget sockets() {
         return sockets;
--- a/daemon/src/test/java/postgrade/http/ConnectionTest.java
+++ b/daemon/src/test/java/postgrade/http/ConnectionTest.java
@@ -29,6 +29,7 @@
 public class ConnectionTest implements Reactor, Connection.Owner {
 
     private final SocketBudget sockets = new SocketBudget(10);
+    private final MemoryBudget memory = new MemoryBudget();
     private final ByteBuffer loopBuffer = ByteBuffer.allocate(16);
     private final StringBuilder events = new StringBuilder();
     private final ReadBufferPool bufferPool = new ReadBufferPool();
@@ -219,6 +220,11 @@
         bufferPool.release(lent);
     }
 
+    @Override
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     @Override
     public SocketBudget sockets() {
         return sockets;
--- a/daemon/src/test/java/postgrade/upgrade/HelloTimeoutTest.java
+++ b/daemon/src/test/java/postgrade/upgrade/HelloTimeoutTest.java
@@ -26,6 +26,7 @@
 import org.junit.rules.TemporaryFolder;
 import org.junit.rules.Timeout;
 import postgrade.dispatch.Timers;
+import postgrade.http.MemoryBudget;
 import postgrade.http.Reactor;
 import postgrade.http.SocketBudget;
 
@@ -41,6 +42,7 @@
 
     @Rule public final TemporaryFolder folder = new TemporaryFolder();
     private final ByteBuffer buffer = ByteBuffer.allocate(64 << 10);
+    private final MemoryBudget memory = new MemoryBudget();
     private final List<Task> tasks = new ArrayList<>();
     private Selector selector;
     private long nowMicros;
@@ -132,6 +134,11 @@
         return buffer;
     }
 
+    @Override
+    public MemoryBudget memory() {
+        return memory;
+    }
+
     @Override
     public SocketBudget sockets() {
         throw new UnsupportedOperationException();
