Remove cancelled timers from the heap before they are due

Cause: a cancelled timer stayed in the heap until it was due. Now cancelled timers are removed once they are the greater part.

--- a/daemon/src/main/java/postgrade/daemon/EventLoop.java
+++ b/daemon/src/main/java/postgrade/daemon/EventLoop.java
@@ -41,6 +41,8 @@
      */
     private static final long LATE_ITERATION_MICROS = 10_000;
 
+    private static final int MAX_CANCELLED_TIMERS = 1_000;
+
     /** Releases of memory are logged no more often. */
     private static final long MEMORY_LOG_INTERVAL_MICROS = 1_000_000;
 
@@ -71,6 +73,7 @@
     private long readySinceMicros;
     private int consecutiveFailedWaits;
     private long nextTimerNumber;
+    private int cancelledTimers;
     private final Runnable enforceMemoryLimit = this::enforceMemoryLimit;
     private int memoryReleases;
     private long memoryLogMicros;
@@ -109,9 +112,9 @@
             dispatch(new ArrayList<>(selector.selectedKeys()));
             selector.selectedKeys().clear();
             while (!timers.isEmpty() && timers.peek().dueMicros <= nowMicros) {
-                ScheduledTask timer = timers.poll();
-                if (timer.task != null) {
-                    runGuarded(timer.task);
+                Runnable due = timers.poll().take();
+                if (due != null) {
+                    runGuarded(due);
                 }
             }
             handler.runBatch();
@@ -153,7 +156,7 @@
     /** Returns the time until the next timer is due; negative if there is none. */
     private long waitMillis(boolean immediately) {
         while (!timers.isEmpty() && timers.peek().task == null) {
-            timers.poll();
+            timers.poll().take();
         }
         if (immediately) {
             return 0;
@@ -290,8 +293,24 @@
         return memory;
     }
 
-    /** A timer in the heap; a cancelled one stays there without its task until it is due. */
-    private static final class ScheduledTask implements Timer, Comparable<ScheduledTask> {
+    /** Returns the number of timers in the heap, including cancelled ones. */
+    int timerCount() {
+        return timers.size();
+    }
+
+    /**
+     * Removes the cancelled timers once they are the greater part. Most timers are cancelled long
+     * before they are due, and clients choose the deadlines of their jobs.
+     */
+    private void removeCancelledTimers() {
+        if (cancelledTimers > MAX_CANCELLED_TIMERS && cancelledTimers > timers.size() / 2) {
+            timers.removeIf(timer -> timer.task == null);
+            cancelledTimers = 0;
+        }
+    }
+
+    /** A timer in the heap; a cancelled one stays there for a while without its task. */
+    private final class ScheduledTask implements Timer, Comparable<ScheduledTask> {
         private final long dueMicros;
         private final long number;
         private Runnable task;
@@ -302,9 +321,21 @@
             this.task = task;
         }
 
+        /** Takes the task when the timer leaves the heap; null if it has been cancelled. */
+        Runnable take() {
+            Runnable taken = task;
+            task = null;
+            cancelledTimers -= taken == null ? 1 : 0;
+            return taken;
+        }
+
         @Override
         public void cancel() {
-            task = null;
+            if (task != null) {
+                task = null;
+                cancelledTimers++;
+                removeCancelledTimers();
+            }
         }
 
         @Override
