Handle at most 16 requests of one connection before the others are served

Cause: a turn handled all of the 64 KiB that it had read, some 2,500 requests. Buffered input is not copied again each time. RequestFloodTest: 2 of 3 red before (36,344 and 49,088 bytes answered before the other client), green now.

--- a/daemon/src/main/java/postgrade/client/ClientConnection.java
+++ b/daemon/src/main/java/postgrade/client/ClientConnection.java
@@ -38,13 +38,19 @@
      */
     private static final int MAX_PIPELINED_BYTES = MessageParser.MAX_BODY_BYTES * 2;
 
+    /**
+     * The most requests handled of one connection before the others are served. Limits the time
+     * that a peer takes from them by sending many small requests.
+     */
+    private static final int MAX_REQUESTS_PER_TURN = 16;
+
     final ClientListener listener;
     private final Connection connection;
     private final ConnectionTimeouts timeouts;
     private ConnectionState state = ConnectionState.READING;
     private MessageParser parser = MessageParser.forRequests();
 
-    /** Input received after the request that awaits its answer. */
+    /** Input received after the request that awaits its answer, or left for the next turn. */
     private ByteBuffer pipelined = EMPTY;
 
     /** The request that awaits its answer, or null if no answer is due. */
@@ -95,11 +101,12 @@
                 // connection, and the client would not receive its answer.
                 throw new BadMessageException(400, "more sent ahead of its answer than is kept");
             }
-            bytes =
+            pipelined =
                     ByteBuffer.allocate(pipelined.remaining() + bytes.remaining())
                             .put(pipelined)
                             .put(bytes)
                             .flip();
+            bytes = pipelined;
         }
         if (state.awaitsAnswer() && !MessageParser.mayBeRequest(bytes)) {
             throw new BadMessageException(400, "more bytes than the request has");
@@ -108,10 +115,31 @@
         if (!listener.fitsMemoryLimit(parser.bodyBytesReceived())) {
             rejectIncompleteRequest();
         }
-        // Limits the loop's time for a peer that sends the same invalid request again as soon as it
-        // is rejected: it is read again at the next sweep only. A client that awaits a job's answer
-        // is always read, as its disconnect must be seen at once.
-        setReadingPaused(rejectedSinceSweep && state == ConnectionState.READING);
+        updateReadingPaused();
+    }
+
+    /**
+     * Limits the loop's time for a peer that sends the same invalid request again as soon as it is
+     * rejected: it is read again at the next sweep only. What one that sends many valid requests
+     * has sent is handled first. A client that awaits a job's answer is always read, as its
+     * disconnect must be seen at once.
+     */
+    private void updateReadingPaused() {
+        setReadingPaused(
+                state == ConnectionState.READING
+                        && (rejectedSinceSweep || pipelined.hasRemaining()));
+    }
+
+    /** Handles input that was left by an earlier turn. */
+    private void handlePipelined() {
+        if (state == ConnectionState.READING || state == ConnectionState.TAKING) {
+            try {
+                parseRequests(pipelined);
+            } catch (BadMessageException e) {
+                badMessage(connection, e);
+            }
+            updateReadingPaused();
+        }
     }
 
     /**
@@ -142,12 +170,18 @@
         arrivalTimes.watch(listener.timers.nowMicros(), !paused);
     }
 
-    /** Parses and handles requests one after another, as long as each is answered synchronously. */
+    /**
+     * Parses and handles requests one after another, as long as each is answered synchronously, and
+     * leaves those above the limit to the next turn.
+     */
     private void parseRequests(ByteBuffer bytes) throws BadMessageException {
         if (state == ConnectionState.READING) {
             transitionTo(ConnectionState.TAKING);
         }
-        while (state == ConnectionState.TAKING && bytes.hasRemaining()) {
+        int handled = 0;
+        while (state == ConnectionState.TAKING
+                && bytes.hasRemaining()
+                && handled < MAX_REQUESTS_PER_TURN) {
             Message request = parser.parse(bytes);
             boolean expectsContinue = parser.consumeExpectContinue();
             if (request != null && bytes.hasRemaining() && !MessageParser.mayBeRequest(bytes)) {
@@ -155,6 +189,7 @@
                 // body.
                 throw new BadMessageException(400, "more bytes than the request has");
             } else if (request != null) {
+                handled++;
                 timeouts.requestReceived();
                 RequestRouter.route(this, request);
                 if (connection.unsentBytes() > MAX_UNSENT_BYTES) {
@@ -170,11 +205,16 @@
             transitionTo(ConnectionState.WAITING);
         }
         // Input after the last answer is discarded.
-        pipelined =
-                state.awaitsAnswer() && bytes.hasRemaining()
-                        ? ByteBuffer.allocate(bytes.remaining()).put(bytes).flip()
-                        : EMPTY;
+        boolean keepsRest = state.awaitsAnswer() || state == ConnectionState.READING;
+        if (!keepsRest || !bytes.hasRemaining()) {
+            pipelined = EMPTY;
+        } else if (bytes != pipelined) {
+            pipelined = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+        }
         connection.updateMemory();
+        if (state == ConnectionState.READING && pipelined.hasRemaining() && !rejectedSinceSweep) {
+            listener.timers.at(listener.timers.nowMicros() + 1, this::handlePipelined);
+        }
     }
 
     @Override
@@ -193,8 +233,7 @@
             discardsInput = true;
             return true;
         }
-        rejectIncompleteRequest();
-        return state == ConnectionState.ANSWERING;
+        return rejectBufferedInput();
     }
 
     // ---- Complete requests and their answers.
@@ -244,11 +283,7 @@
         cancelAwait();
         writeResponse(status, body, retryAfterMicros, pending.keepsAlive);
         if (!synchronous) {
-            try {
-                parseRequests(pipelined); // The client may have pipelined its next request.
-            } catch (BadMessageException e) {
-                badMessage(connection, e);
-            }
+            handlePipelined(); // The client may have pipelined its next request.
         }
     }
 
@@ -289,7 +324,7 @@
 
     void sweep(long nowMicros) {
         rejectedSinceSweep = false;
-        setReadingPaused(false);
+        handlePipelined();
         if (state.awaitsAnswer() || state == ConnectionState.CLOSED) {
             return;
         }
@@ -301,7 +336,9 @@
         }
         if (timeouts.isExpired(nowMicros, state, allSent, partial)) {
             expire();
-        } else if (allSent && timeouts.isEvictable(nowMicros, state, partial)) {
+        } else if (allSent
+                && !pipelined.hasRemaining()
+                && timeouts.isEvictable(nowMicros, state, partial)) {
             connection.setIdle(true, timeouts.isOnProbation(nowMicros, partial));
         }
     }
@@ -330,10 +367,20 @@
 
     /** Rejects a partially received request; the rest of it is discarded. */
     void rejectIncompleteRequest() {
-        if (state == ConnectionState.READING && !parser.isAtMessageStart()) {
-            parser = MessageParser.forRequests(); // Releases the buffered body.
-            writeResponse(429, NO_BODY, OVERLOAD_RETRY_MICROS, false);
+        if (!parser.isAtMessageStart()) {
+            rejectBufferedInput();
+        }
+    }
+
+    /** Returns false if no request is being received. */
+    private boolean rejectBufferedInput() {
+        if (state != ConnectionState.READING) {
+            return false;
         }
+        parser = MessageParser.forRequests(); // Releases the buffered body.
+        pipelined = EMPTY;
+        writeResponse(429, NO_BODY, OVERLOAD_RETRY_MICROS, false);
+        return true;
     }
 
     /**
--- /dev/null
+++ b/daemon/src/test/java/postgrade/daemon/RequestFloodTest.java
@@ -0,0 +1,88 @@
+package postgrade.daemon;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/**
+ * One client sends small requests on one connection at full speed. Guards against late answers to
+ * other clients.
+ */
+public class RequestFloodTest extends DaemonTestBase {
+
+    private static final int REQUESTS = 1500;
+    private static final int MAX_REQUESTS_PER_TURN = 16;
+
+    private LoopHarness harness;
+
+    @Before
+    public void startHarness() throws Exception {
+        harness = new LoopHarness(Config.read(configuration()), 1024);
+    }
+
+    @After
+    public void close() throws IOException {
+        harness.close();
+    }
+
+    /** Returns how many bytes the flooding client is answered before another one's job is seen. */
+    private int bytesAnsweredBeforeOthers(String request) throws Exception {
+        Socket flooder = harness.connect();
+        Socket other = harness.connect();
+        ScriptedPeer.write(other, "GET /-/ready HTTP/1.1\r\n\r\n");
+        ScriptedPeer.read(other);
+        int[] answered = new int[1];
+        harness.script.onJob =
+                job -> {
+                    answered[0] = AttemptTestBase.availableBytes(flooder);
+                    harness.script.actions.fail(job.id());
+                };
+        harness.interleave(
+                0,
+                () -> {
+                    ScriptedPeer.write(flooder, request.repeat(REQUESTS));
+                    LoopHarness.post(other, "usual");
+                },
+                () -> {});
+        assertEquals(429, ScriptedPeer.read(other).status());
+        return answered[0];
+    }
+
+    private int answerLength(String request) throws Exception {
+        Socket client = harness.connect();
+        ScriptedPeer.write(client, request);
+        ScriptedPeer.ReceivedMessage answer = ScriptedPeer.read(client);
+        return answer.head().length() + answer.body().length();
+    }
+
+    private void assertOthersAreServedInTurn(String request) throws Exception {
+        int limit = MAX_REQUESTS_PER_TURN * answerLength(request);
+        int answered = bytesAnsweredBeforeOthers(request);
+        assertTrue(answered + " bytes were answered before", answered <= limit);
+    }
+
+    @Test
+    public void othersAreServedBetweenManyValidRequestsOfOneClient() throws Exception {
+        assertOthersAreServedInTurn("GET /-/ready HTTP/1.1\r\n\r\n");
+    }
+
+    @Test
+    public void othersAreServedBetweenManyInvalidRequestsOfOneClient() throws Exception {
+        assertOthersAreServedInTurn("GET /nothing HTTP/1.1\r\n\r\n");
+    }
+
+    /** All of them are answered, although they are handled over many turns. */
+    @Test
+    public void everyRequestSentAheadIsAnswered() throws Exception {
+        Socket client = harness.connect();
+        ScriptedPeer.write(client, "GET /-/ready HTTP/1.1\r\n\r\n".repeat(REQUESTS));
+        for (int i = 0; i < REQUESTS; i++) {
+            assertEquals(200, ScriptedPeer.read(client).status());
+        }
+    }
+}
