Begin no job that must not run twice again when its id comes again

Cause: an id was known only while its request was in flight, and in its own process only. BegunRequests now remembers it from the first attempt's writing, in bounded memory; it is refused with 409. Linked processes tell each other of each request before its first byte goes out, and read the link before they take a job.

--- a/core/src/main/java/postgrade/dispatch/PendingRequest.java
+++ b/core/src/main/java/postgrade/dispatch/PendingRequest.java
@@ -26,6 +26,7 @@
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int attemptsInFlight;
     private int undeliveredEvents;
+    private boolean begun;
     private boolean answered;
     private boolean allowsConcurrentAttempts;
     private long arrivedMicros;
@@ -155,6 +156,18 @@
                 || (allowsConcurrentAttempts && inFlightAttemptAt(workerId) == null);
     }
 
+    /** Marks that an attempt is being written. Returns false if one has been written before. */
+    boolean markBegun() {
+        boolean first = !begun;
+        begun = true;
+        return first;
+    }
+
+    /** Whether a worker may have received the request. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     // ---- Undelivered policy events.
 
     void eventQueued() {
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
 import postgrade.dispatch.AnsweredRequest.Answer;
 import postgrade.policy.api.AttemptOutcome;
 import postgrade.policy.api.DecisionReason;
@@ -44,6 +45,7 @@
     private final EventBatch batch;
     private final AttemptLifecycle lifecycle;
     private final ReportMatcher reports;
+    private final BegunRequests begunRequests;
     private WorkerTransport transport;
     private int maxRequests;
     private boolean allowsConcurrentAttempts;
@@ -69,6 +71,7 @@
         batch = new EventBatch(timers, errors);
         lifecycle = new AttemptLifecycle(timers, errors, batch, this::policy);
         reports = new ReportMatcher(timers, lifecycle, this::policy);
+        begunRequests = new BegunRequests(jobClass -> policy().mayRunAgain(jobClass));
         ActionQueue actions =
                 new ActionQueue(
                         timers, errors, batch, lifecycle, requests, this::transport, this::policy);
@@ -94,11 +97,12 @@
     }
 
     /**
-     * Accepts a request for one answer. Returns false, and does nothing, if its id is in flight.
+     * Accepts a request for one answer. Returns false, and does nothing, if its id is in flight, or
+     * if a request with this id may have run and must not run again.
      */
     public boolean submit(PendingRequest request) {
-        if (requests.containsKey(request.id())) {
-            return false; // The policy would ignore the second request and never answer it.
+        if (isInFlight(request.id()) || begunRequests.mayHaveRun(request.id())) {
+            return false; // The policy would ignore a second request and never answer it.
         }
         if (lifecycle.unanswered() >= maxRequests) {
             // Bounds memory: further requests are rejected without consulting the policy.
@@ -116,6 +120,11 @@
         return true;
     }
 
+    /** Whether a request with this id is in flight. */
+    public boolean isInFlight(String id) {
+        return requests.containsKey(id);
+    }
+
     /** Delivers a new request to the policy; if that throws, the request is failed to answer it. */
     private void deliverJob(long nowNs, PendingRequest request) {
         try {
@@ -172,6 +181,11 @@
         return true;
     }
 
+    /** The transport is about to write an attempt. */
+    public void attemptWriting(Attempt attempt) {
+        begunRequests.begin(attempt.request());
+    }
+
     /** The transport has found that an attempt has ended, by the given evidence. */
     public void attemptEnded(Attempt attempt, AttemptOutcome outcome, EndEvidence evidence) {
         lifecycle.end(attempt, outcome, evidence, null);
@@ -195,6 +209,23 @@
         batch.addEvent(nowNs -> policy.workerProbed(nowNs, workerId, answered, LoadReport.NONE));
     }
 
+    // ---- Requests that other processes of this dispatcher must not begin, by fingerprint.
+
+    /** Sets the receiver of the requests that are begun here from now on. */
+    public void announceBegunRequests(LongConsumer receiver) {
+        begunRequests.announceTo(receiver);
+    }
+
+    /** Returns the requests that have been begun here. */
+    public long[] exportBegunRequests() {
+        return begunRequests.export(requests.values());
+    }
+
+    /** Another process has begun these requests. */
+    public void importBegunRequests(long[] fingerprints) {
+        begunRequests.addAll(fingerprints);
+    }
+
     // ---- Settings, workers and imported state; delivered before an iteration's other events.
 
     /**
--- a/core/src/main/java/postgrade/policy/TokenBucketDispatchPolicy.java
+++ b/core/src/main/java/postgrade/policy/TokenBucketDispatchPolicy.java
@@ -5,6 +5,7 @@
 import postgrade.policy.api.AttemptOutcome;
 import postgrade.policy.api.DecisionReason;
 import postgrade.policy.api.DispatchPolicy;
+import postgrade.policy.api.Idempotency;
 import postgrade.policy.api.Job;
 import postgrade.policy.api.JobConstraints;
 import postgrade.policy.api.LoadReport;
@@ -91,6 +92,12 @@
         }
     }
 
+    @Override
+    public boolean mayRunAgain(String jobClass) {
+        JobClassStats known = state.classes().get(jobClass);
+        return known != null && known.jobClass().idempotency() != Idempotency.NOT_IDEMPOTENT;
+    }
+
     @Override
     public void jobArrived(long nowNs, Job job) {
         JobClassStats jobClass = state.classes().get(job.jobClass());
--- a/core/src/main/java/postgrade/policy/api/DispatchPolicy.java
+++ b/core/src/main/java/postgrade/policy/api/DispatchPolicy.java
@@ -48,6 +48,9 @@
      */
     default void importState(long nowNs, List<PolicyStateEntry> entries) {}
 
+    /** Returns whether a job of this class may run more than once; false if that is not known. */
+    boolean mayRunAgain(String jobClass);
+
     /** A client has submitted a job. */
     void jobArrived(long nowNs, Job job);
 
--- a/daemon/src/main/java/postgrade/client/CallBackRelay.java
+++ b/daemon/src/main/java/postgrade/client/CallBackRelay.java
@@ -3,13 +3,19 @@
 import java.util.function.Consumer;
 
 /**
- * Relays call-backs for jobs that are not known here to the other processes of this dispatcher, if
- * there are any.
+ * The link to the other processes of this dispatcher, if there are any. Relays to them the
+ * call-backs for jobs that are not known here.
  */
 public interface CallBackRelay {
 
     boolean hasPeers();
 
+    /**
+     * Handles the messages that the other processes have sent until now, among them which requests
+     * they have begun.
+     */
+    default void receivePending() {}
+
     /**
      * Relays one call-back.
      *
--- a/daemon/src/main/java/postgrade/client/RequestRouter.java
+++ b/daemon/src/main/java/postgrade/client/RequestRouter.java
@@ -54,6 +54,7 @@
 
     private static void submitJob(ClientConnection connection, Message request) {
         ClientListener listener = connection.listener;
+        listener.relay.receivePending();
         JobSubmission job;
         try {
             job = JobSubmission.parse(request, listener);
@@ -94,7 +95,11 @@
             }
         } else {
             connection.cancelAwait();
-            connection.reject(409, "a job with this id is open", request.isKeepAlive());
+            String reason =
+                    listener.tracker.isInFlight(job.id())
+                            ? "a job with this id is open"
+                            : "a job with this id may have run";
+            connection.reject(409, reason, request.isKeepAlive());
         }
     }
 }
--- a/daemon/src/main/java/postgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/postgrade/daemon/Daemon.java
@@ -131,6 +131,7 @@
                         loop,
                         loop,
                         new UpgradeOwner());
+        requestTracker.announceBegunRequests(upgrade::announceBegun);
         HandoverState received = HandoverState.fromSnapshot(upgrade.join());
         HandoverState handover =
                 received != null
@@ -348,6 +349,11 @@
                 return upgrade.peerCount() > 0;
             }
 
+            @Override
+            public void receivePending() {
+                upgrade.receivePending();
+            }
+
             @Override
             public void relay(byte[] body, Consumer<Boolean> done) {
                 upgrade.relayCallBack(body, done);
@@ -414,6 +420,16 @@
                     extension == null ? "" : extension.handOverState());
         }
 
+        @Override
+        public long[] begunRequests() {
+            return requestTracker.exportBegunRequests();
+        }
+
+        @Override
+        public void begunElsewhere(long[] fingerprints) {
+            requestTracker.importBegunRequests(fingerprints);
+        }
+
         @Override
         public void callBackRelayed(byte[] body) {
             listener.handleRelayedCallBack(body);
--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -22,6 +22,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
 
+    /** Bounds the time for a peer that sends without end; the system's buffer holds less. */
+    private static final int MAX_PENDING_READS = 64;
+
     private final UpgradeCoordinator coordinator;
     final SocketChannel channel;
 
@@ -29,6 +32,10 @@
     final Path file;
 
     private final LineCodec lines = new LineCodec();
+
+    /** Requests begun here that wait until earlier messages to the peer are sent. */
+    private final BegunAnnouncements begun = new BegunAnnouncements();
+
     private final MemoryBudget.Reservation memory;
     final List<Long> pendingAcknowledgements = new ArrayList<>();
 
@@ -60,6 +67,10 @@
 
     void send(JsonObject message) {
         lines.enqueue(message.toString());
+        flushQuietly();
+    }
+
+    private void flushQuietly() {
         try {
             flush();
         } catch (IOException e) {
@@ -70,16 +81,29 @@
     }
 
     private void updateMemory() {
-        memory.resize(open ? lines.heldBytes() : 0);
+        memory.resize(open ? lines.heldBytes() + begun.heldBytes() : 0);
     }
 
     private void flush() throws IOException {
         if (open) {
             lines.writeTo(channel);
+            while (lines.allWritten() && begun.hasNext()) {
+                lines.enqueue(begun.next().toString());
+                lines.writeTo(channel);
+            }
             updateInterest();
         }
     }
 
+    /**
+     * Sends a fingerprint, together with others if the peer is behind with reading. The system has
+     * it, and the peer can read it, before the request itself is written.
+     */
+    void announceBegun(long fingerprint) {
+        begun.add(fingerprint);
+        flushQuietly();
+    }
+
     private void updateInterest() {
         if (key != null && key.isValid()) {
             key.interestOps(
@@ -108,12 +132,16 @@
     }
 
     void read() throws IOException {
-        ByteBuffer in = coordinator.reactor.readBuffer();
+        read(coordinator.reactor.readBuffer());
+    }
+
+    /** Returns whether there was something to read and the link is open. */
+    private boolean read(ByteBuffer in) throws IOException {
         in.clear();
         int count = channel.read(in);
         if (count < 0) {
             disconnected(null);
-            return;
+            return false;
         }
         in.flip();
         for (String line : lines.decode(in)) {
@@ -121,6 +149,22 @@
                 receive(JsonReader.read(line).asObject());
             }
         }
+        return open && count > 0;
+    }
+
+    /** Handles what the peer has sent until now, without waiting for the event loop. */
+    void receivePending() {
+        ByteBuffer in = coordinator.reactor.acquireBuffer(); // The loop's buffer may be in use.
+        try {
+            for (int i = 0; i < MAX_PENDING_READS && open && read(in); i++) {
+                // What was read has been handled.
+            }
+        } catch (IOException | RuntimeException e) {
+            disconnected(e);
+        } finally {
+            coordinator.reactor.releaseBuffer(in);
+        }
+        updateMemory();
     }
 
     /**
@@ -158,6 +202,8 @@
             }
             identified(message.get("id").asString());
             if (open) {
+                // Before the state, after which the new process waits for nothing more.
+                BegunAnnouncements.messages(coordinator.owner.begunRequests()).forEach(this::send);
                 send(
                         Json.object()
                                 .add("state", coordinator.owner.snapshot())
@@ -166,6 +212,8 @@
                                 .add("stopping", coordinator.stopping));
                 coordinator.owner.peersChanged();
             }
+        } else if (message.get(BegunAnnouncements.KEY) != null && (id != null || file != null)) {
+            coordinator.owner.begunElsewhere(BegunAnnouncements.fingerprints(message));
         } else if (message.get("state") != null) {
             state = message.get("state").asObject();
             serving = message.getBoolean("serving", false);
--- a/daemon/src/main/java/postgrade/upgrade/UpgradeCoordinator.java
+++ b/daemon/src/main/java/postgrade/upgrade/UpgradeCoordinator.java
@@ -52,6 +52,14 @@
         /** Returns the state for a new process. */
         JsonObject snapshot();
 
+        /** Returns the fingerprints of the requests that a new process must not begin. */
+        default long[] begunRequests() {
+            return new long[0];
+        }
+
+        /** A peer has begun the requests with these fingerprints. */
+        default void begunElsewhere(long[] fingerprints) {}
+
         /**
          * Handles a worker's call-back that a peer received and whose job may belong to this
          * process.
@@ -76,6 +84,7 @@
     private final JoinHandshake handshake = new JoinHandshake(this);
     private final HandoverFile handoverFile;
     private boolean foundPeers;
+    private boolean receiving;
     private ServerSocketChannel server;
     private Path socketFile;
     boolean serving;
@@ -234,6 +243,28 @@
 
     // ---- Messages to the other processes.
 
+    /** Announces that this process writes a request with this fingerprint to a worker. */
+    public void announceBegun(long fingerprint) {
+        for (PeerLink peer : new ArrayList<>(peers)) {
+            peer.announceBegun(fingerprint);
+        }
+    }
+
+    /** Handles what the peers have sent until now. Does nothing within itself. */
+    public void receivePending() {
+        if (peers.isEmpty() || receiving) {
+            return;
+        }
+        receiving = true;
+        try {
+            for (PeerLink peer : new ArrayList<>(peers)) {
+                peer.receivePending();
+            }
+        } finally {
+            receiving = false;
+        }
+    }
+
     /**
      * Forwards a call-back to the process that owns its job. The callback gets true once all others
      * have handled it, false if one did not acknowledge in time.
--- a/daemon/src/main/java/postgrade/worker/AttemptRequest.java
+++ b/daemon/src/main/java/postgrade/worker/AttemptRequest.java
@@ -304,6 +304,7 @@
 
     @Override
     void onWriting(WorkerConnection carrier) {
+        tracker.attemptWriting(attempt);
         wireTimes.recordWritten(timers.nowMicros(), carrier);
         endProof.onWriting(carrier.requestsCarried);
     }
--- a/daemon/src/test/java/postgrade/daemon/ScriptedPolicy.java
+++ b/daemon/src/test/java/postgrade/daemon/ScriptedPolicy.java
@@ -52,6 +52,11 @@
         assertEquals(expected, next);
     }
 
+    @Override
+    public boolean mayRunAgain(String jobClass) {
+        return !jobClass.equals("confirm");
+    }
+
     @Override
     public void workersUpdated(long nowNs, WorkerListUpdateType form, List<WorkerInfo> workers) {
         events.add(
