Parse numbers of HTTP heads and chunks without streams

A chunk's size was checked by a stream over its characters before it was read. One pass does both; the same inputs are accepted and refused, with the same statuses (MessageParserSplitInputTest, BadInputTest pass).

--- a/daemon/src/main/java/postgrade/http/MessageParser.java
+++ b/daemon/src/main/java/postgrade/http/MessageParser.java
@@ -341,16 +341,19 @@
 
     private long parseNumber(String text, int radix, long max, int statusIfTooLarge)
             throws BadMessageException {
-        if (text.isEmpty()
-                || text.chars().anyMatch(c -> Character.digit(c, radix) < 0 || c > 'f')) {
+        long value = text.isEmpty() ? -1 : 0;
+        boolean tooLarge = false;
+        for (int i = 0; i < text.length() && value >= 0; i++) {
+            char c = text.charAt(i);
+            int digit = c > 'f' ? -1 : Character.digit(c, radix);
+            value = digit < 0 ? -1 : tooLarge ? value : value * radix + digit;
+            tooLarge |= value > max;
+        }
+        if (value < 0) {
             throw new BadMessageException(400, "not a number where one is due");
         }
-        long value = 0;
-        for (int i = 0; i < text.length(); i++) {
-            value = value * radix + Character.digit(text.charAt(i), radix);
-            if (value > max) {
-                throw new BadMessageException(statusIfTooLarge, "too large a number");
-            }
+        if (tooLarge) {
+            throw new BadMessageException(statusIfTooLarge, "too large a number");
         }
         return value;
     }
