Limit the system's buffers of accepted connections

Cause: the system lets the buffers of a fast peer grow to megabytes. Now 64 KiB is asked for in each direction.

--- a/daemon/src/main/java/postgrade/client/ClientListener.java
+++ b/daemon/src/main/java/postgrade/client/ClientListener.java
@@ -30,6 +30,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientListener.class);
     private static final int BACKLOG = 1024;
 
+    /**
+     * The system's buffers of an accepted connection, in each direction; the system takes twice
+     * this. Without a limit it grows them to several megabytes for a peer that sends fast, and all
+     * of that counts as the process's memory.
+     */
+    private static final int SYSTEM_BUFFER_BYTES = 64 << 10;
+
     private static final long SWEEP_MICROS = 50_000;
 
     /**
@@ -146,6 +153,7 @@
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             enablePortReuse(channel);
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, SYSTEM_BUFFER_BYTES);
             bind(channel, at);
             channel.configureBlocking(false);
             backlogArrivals = new ArrivalTimes(timers.nowMicros(), timers.nowMicros());
@@ -278,6 +286,7 @@
             // that has not arrived.
             reactor.sockets().acquireForAccept(mayEvictEstablished);
             try {
+                accepted.setOption(StandardSocketOptions.SO_SNDBUF, SYSTEM_BUFFER_BYTES);
                 connections.add(new ClientConnection(this, accepted, sinceMicros));
                 registered = true;
             } catch (IOException e) {
