Take a request sent behind another one that is split after the CR of its first line

Seen once in 10,000 call-backs that a test sent in one go: 400, more bytes than the request has. Cause: the pattern of a start line's prefix did not match a carriage return, so a request whose first part ended between CR and LF counted as rubbish behind the one before. MessageParserSplitInputTest.everyPrefixOfARequestMayBeOne: red before (at byte 23), green now.

--- a/daemon/src/main/java/postgrade/http/MessageParser.java
+++ b/daemon/src/main/java/postgrade/http/MessageParser.java
@@ -27,7 +27,7 @@
 
     /** Matches any prefix of a valid start line of a request. */
     private static final Pattern START_LINE_PREFIX =
-            Pattern.compile("\\r?|[A-Z]{0,16}|[A-Z]{1,16} (/.*)?");
+            Pattern.compile("\\r?|[A-Z]{0,16}|[A-Z]{1,16} (/.*\\r?)?");
 
     private enum State {
         START_LINE,
--- a/daemon/src/test/java/postgrade/http/MessageParserSplitInputTest.java
+++ b/daemon/src/test/java/postgrade/http/MessageParserSplitInputTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -76,6 +77,17 @@
         assertSameAtEverySplit("HTTP/1.1 204 No Content\r\n\r\n", MessageParser::forResponses);
     }
 
+    /**
+     * Guards against refusing a request, sent behind another one, whose first part ends anywhere.
+     */
+    @Test
+    public void everyPrefixOfARequestMayBeOne() {
+        byte[] all = bytes("POST /api?a=b HTTP/1.1\r\nHost: x\r\n\r\n");
+        for (int length = 0; length <= all.length; length++) {
+            assertTrue("of " + length, MessageParser.mayBeRequest(ByteBuffer.wrap(all, 0, length)));
+        }
+    }
+
     @Test
     public void streamedBodyIsTheSameAtEverySplit() throws BadMessageException {
         byte[] all = bytes("HTTP/1.1 200 OK\r\n" + CHUNKED);
