Ask for 32 KiB of system buffers for an accepted connection in each direction

With 64 KiB, which the system doubles, 740 connections could have 185 MB of the 192 MB that a process may use; now 93 MB. SystemBufferTest holds the smaller bound.

--- a/daemon/src/main/java/postgrade/client/ClientListener.java
+++ b/daemon/src/main/java/postgrade/client/ClientListener.java
@@ -35,7 +35,7 @@
      * this. Without a limit it grows them to several megabytes for a peer that sends fast, and all
      * of that counts as the process's memory.
      */
-    private static final int SYSTEM_BUFFER_BYTES = 64 << 10;
+    private static final int SYSTEM_BUFFER_BYTES = 32 << 10;
 
     private static final long SWEEP_MICROS = 50_000;
 
--- a/daemon/src/test/java/postgrade/daemon/SystemBufferTest.java
+++ b/daemon/src/test/java/postgrade/daemon/SystemBufferTest.java
@@ -20,7 +20,7 @@
 public class SystemBufferTest extends DaemonTestBase {
 
     /** The system takes twice what is asked for. */
-    private static final int MAX_BUFFER_BYTES = 2 * (64 << 10);
+    private static final int MAX_BUFFER_BYTES = 2 * (32 << 10);
 
     private final BlockingQueue<SocketChannel> accepted = new LinkedBlockingQueue<>();
 
