Move the input kept ahead of answers to a class of its own; spare small holders of memory

PipelinedInput takes the buffer and its limit out of ClientConnection. A connection that holds up to 4 KiB is not asked to release them, so that a call-back is taken even where reservations alone reach the limit.

--- a/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
+++ b/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
@@ -1,6 +1,5 @@
 package postgrade.dispatch;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -32,7 +31,10 @@
             byte[] hash =
                     MessageDigest.getInstance("SHA-256")
                             .digest(id.getBytes(StandardCharsets.UTF_8));
-            long fingerprint = ByteBuffer.wrap(hash).getLong();
+            long fingerprint = 0;
+            for (int i = 0; i < Long.BYTES; i++) {
+                fingerprint = (fingerprint << Byte.SIZE) | (hash[i] & 0xff);
+            }
             return fingerprint == FREE ? 1 : fingerprint;
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java platform has SHA-256", e);
--- a/daemon/src/main/java/postgrade/client/ClientConnection.java
+++ b/daemon/src/main/java/postgrade/client/ClientConnection.java
@@ -19,7 +19,6 @@
 final class ClientConnection implements Connection.Owner {
 
     private static final byte[] NO_BODY = {};
-    private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     /**
      * Bodies up to this length are accepted regardless of how much memory is held. Call-backs fit
@@ -32,12 +31,6 @@
     /** Bounds the memory for answers to a peer that keeps sending requests and does not read. */
     private static final long MAX_UNSENT_BYTES = 256 << 10;
 
-    /**
-     * The most bytes buffered of pipelined requests, which arrive before the current one is
-     * answered.
-     */
-    private static final int MAX_PIPELINED_BYTES = MessageParser.MAX_BODY_BYTES * 2;
-
     /**
      * The most requests handled of one connection before the others are served. Limits the time
      * that a peer takes from them by sending many small requests.
@@ -50,8 +43,7 @@
     private ConnectionState state = ConnectionState.READING;
     private MessageParser parser = MessageParser.forRequests();
 
-    /** Input received after the request that awaits its answer, or left for the next turn. */
-    private ByteBuffer pipelined = EMPTY;
+    private final PipelinedInput pipelined = new PipelinedInput();
 
     /** The request that awaits its answer, or null if no answer is due. */
     private Exchange exchange;
@@ -95,23 +87,11 @@
         if (discardsInput) {
             return;
         }
-        if (pipelined.hasRemaining()) {
-            if (pipelined.remaining() + bytes.remaining() > MAX_PIPELINED_BYTES) {
-                // Rejected with an answer: closing a socket that holds unread bytes would reset the
-                // connection, and the client would not receive its answer.
-                throw new BadMessageException(400, "more sent ahead of its answer than is kept");
-            }
-            pipelined =
-                    ByteBuffer.allocate(pipelined.remaining() + bytes.remaining())
-                            .put(pipelined)
-                            .put(bytes)
-                            .flip();
-            bytes = pipelined;
-        }
-        if (state.awaitsAnswer() && !MessageParser.mayBeRequest(bytes)) {
+        ByteBuffer input = pipelined.append(bytes);
+        if (state.awaitsAnswer() && !MessageParser.mayBeRequest(input)) {
             throw new BadMessageException(400, "more bytes than the request has");
         }
-        parseRequests(bytes);
+        parseRequests(input);
         if (!listener.fitsMemoryLimit(parser.bodyBytesReceived())) {
             rejectIncompleteRequest();
         }
@@ -126,15 +106,14 @@
      */
     private void updateReadingPaused() {
         setReadingPaused(
-                state == ConnectionState.READING
-                        && (rejectedSinceSweep || pipelined.hasRemaining()));
+                state == ConnectionState.READING && (rejectedSinceSweep || !pipelined.isEmpty()));
     }
 
     /** Handles input that was left by an earlier turn. */
     private void handlePipelined() {
         if (state == ConnectionState.READING || state == ConnectionState.TAKING) {
             try {
-                parseRequests(pipelined);
+                parseRequests(pipelined.bytes());
             } catch (BadMessageException e) {
                 badMessage(connection, e);
             }
@@ -152,7 +131,7 @@
                         listener.reactor.previousWaitEndMicros(),
                         listener.reactor.readySinceMicros());
         arrivalTimes.afterRead(listener.timers.nowMicros(), bytes.limit() < bytes.capacity());
-        if (!pipelined.hasRemaining()) {
+        if (pipelined.isEmpty()) {
             arrivedMicros = sinceMicros;
         }
     }
@@ -205,21 +184,20 @@
             transitionTo(ConnectionState.WAITING);
         }
         // Input after the last answer is discarded.
-        boolean keepsRest = state.awaitsAnswer() || state == ConnectionState.READING;
-        if (!keepsRest || !bytes.hasRemaining()) {
-            pipelined = EMPTY;
-        } else if (bytes != pipelined) {
-            pipelined = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+        if (state.awaitsAnswer() || state == ConnectionState.READING) {
+            pipelined.keep(bytes);
+        } else {
+            pipelined.clear();
         }
         connection.updateMemory();
-        if (state == ConnectionState.READING && pipelined.hasRemaining() && !rejectedSinceSweep) {
+        if (state == ConnectionState.READING && !pipelined.isEmpty() && !rejectedSinceSweep) {
             listener.timers.at(listener.timers.nowMicros() + 1, this::handlePipelined);
         }
     }
 
     @Override
     public long heldBytes() {
-        return parser.heldBytes() + pipelined.capacity();
+        return parser.heldBytes() + pipelined.heldBytes();
     }
 
     /**
@@ -229,7 +207,7 @@
     @Override
     public boolean releaseMemory(Connection source) {
         if (state.awaitsAnswer()) {
-            pipelined = EMPTY;
+            pipelined.clear();
             discardsInput = true;
             return true;
         }
@@ -318,7 +296,7 @@
     boolean isBusy() {
         return state.awaitsAnswer()
                 || !parser.isAtMessageStart()
-                || pipelined.hasRemaining()
+                || !pipelined.isEmpty()
                 || !connection.isAllSent();
     }
 
@@ -337,7 +315,7 @@
         if (timeouts.isExpired(nowMicros, state, allSent, partial)) {
             expire();
         } else if (allSent
-                && !pipelined.hasRemaining()
+                && pipelined.isEmpty()
                 && timeouts.isEvictable(nowMicros, state, partial)) {
             connection.setIdle(true, timeouts.isOnProbation(nowMicros, partial));
         }
@@ -378,7 +356,7 @@
             return false;
         }
         parser = MessageParser.forRequests(); // Releases the buffered body.
-        pipelined = EMPTY;
+        pipelined.clear();
         writeResponse(429, NO_BODY, OVERLOAD_RETRY_MICROS, false);
         return true;
     }
@@ -412,7 +390,7 @@
     @Override
     public void badMessage(Connection source, BadMessageException e) {
         parser = MessageParser.forRequests();
-        pipelined = EMPTY;
+        pipelined.clear();
         reportDisconnect();
         answer(e.status(), e.getMessage() + "\n", false);
     }
--- a/daemon/src/main/java/postgrade/http/MemoryBudget.java
+++ b/daemon/src/main/java/postgrade/http/MemoryBudget.java
@@ -23,6 +23,9 @@
 
     private static final long MAX_RESERVED_BYTES = 24 << 20;
 
+    /** A connection that holds no more, such as one that sends a call-back, never loses it. */
+    private static final long SMALL_HOLDER_BYTES = 4 << 10;
+
     /** A holder of memory that can be released. */
     interface Holder {
         /**
@@ -63,6 +66,9 @@
         while (usedBytes() > MAX_HELD_BYTES && !heldBytes.isEmpty()) {
             Holder largest = largestHolder();
             long before = heldBytes.get(largest);
+            if (before <= SMALL_HOLDER_BYTES) {
+                return released;
+            }
             largest.releaseMemory();
             if (heldBytes.getOrDefault(largest, 0L) >= before) {
                 throw new IllegalStateException(largest + " has not released its memory");
