--- a/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
+++ b/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
@@ -1,8 +1,5 @@
 package postgrade.dispatch;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 
 /**
@@ -18,6 +15,12 @@
     /** Twice the ids, so that probing stays short. */
     private static final int SLOTS = 2 * IDS_PER_GENERATION;
 
+    private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    /** A factor of the finalizer of MurmurHash3. */
+    private static final long MIX_FACTOR = 0xff51afd7ed558ccdL;
+
     /** Marks a free slot. */
     private static final long FREE = 0;
 
@@ -25,20 +28,18 @@
     private long[] older = new long[SLOTS];
     private int newerCount;
 
-    /** Returns the fingerprint of an id, the same in every process. */
+    /**
+     * Returns the fingerprint of an id, the same in every process: its FNV-1a hash, mixed so that
+     * its low bits depend on all of it.
+     */
     public static long fingerprint(String id) {
-        try {
-            byte[] hash =
-                    MessageDigest.getInstance("SHA-256")
-                            .digest(id.getBytes(StandardCharsets.UTF_8));
-            long fingerprint = 0;
-            for (int i = 0; i < Long.BYTES; i++) {
-                fingerprint = (fingerprint << Byte.SIZE) | (hash[i] & 0xff);
-            }
-            return fingerprint == FREE ? 1 : fingerprint;
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
+        long hash = FNV_OFFSET_BASIS;
+        for (int i = 0; i < id.length(); i++) {
+            hash = (hash ^ id.charAt(i)) * FNV_PRIME;
         }
+        hash = (hash ^ (hash >>> 33)) * MIX_FACTOR;
+        hash ^= hash >>> 33;
+        return hash == FREE ? 1 : hash;
     }
 
     /** Returns whether an id with this fingerprint was added not long ago. */
--- a/daemon/src/main/java/postgrade/http/Connection.java
+++ b/daemon/src/main/java/postgrade/http/Connection.java
@@ -82,6 +82,9 @@
     /** The lengths of the unsent parts, of which the first may be sent in part. */
     private long queuedBytes;
 
+    /** What the process's memory budget has recorded for this connection. */
+    private long recordedBytes;
+
     private SelectionKey key;
     private boolean connecting;
     private boolean closing;
@@ -314,7 +317,11 @@
 
     /** Records in the process's budget what is held for this connection now. */
     public void updateMemory() {
-        reactor.memory().update(this, closed ? 0 : unsentMemory() + owner.heldBytes());
+        long heldBytes = closed ? 0 : unsentMemory() + owner.heldBytes();
+        if (heldBytes != recordedBytes) {
+            recordedBytes = heldBytes;
+            reactor.memory().update(this, heldBytes);
+        }
     }
 
     private long unsentMemory() {
