--- a/core/src/main/java/postgrade/dispatch/BegunRequests.java
+++ b/core/src/main/java/postgrade/dispatch/BegunRequests.java
@@ -1,15 +1,13 @@
 package postgrade.dispatch;
 
-import java.util.Collection;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
-import java.util.stream.LongStream;
 
 /**
- * Remembers which requests have been written to a worker, so that an id that comes again is not
- * begun again: after its client has left, and at another process of this dispatcher. In this
- * process it concerns jobs that must not run twice; a request of another kind may come again once
- * it is settled. Must be used on the event loop thread only.
+ * Remembers which jobs that must not run twice have been written to a worker, so that an id that
+ * comes again is not begun again: after its client has left, and at another process of this
+ * dispatcher. A request of another kind may come again once it is settled, and at once where the
+ * process that had it was killed. Must be used on the event loop thread only.
  */
 final class BegunRequests {
 
@@ -31,11 +29,9 @@
 
     /** The request is being written to a worker. */
     void begin(PendingRequest request) {
-        if (request.markBegun()) {
+        if (request.markBegun() && !mayRunAgain.test(request.jobClass())) {
             long fingerprint = RecentRequestIds.fingerprint(request.id());
-            if (!mayRunAgain.test(request.jobClass())) {
-                recent.add(fingerprint);
-            }
+            recent.add(fingerprint);
             announcement.accept(fingerprint);
         }
     }
@@ -52,16 +48,8 @@
         return recent.contains(RecentRequestIds.fingerprint(id));
     }
 
-    /**
-     * Returns the fingerprints for another process, which must begin none of these requests.
-     *
-     * @param open the requests in flight here
-     */
-    long[] export(Collection<PendingRequest> open) {
-        LongStream inFlight =
-                open.stream()
-                        .filter(PendingRequest::hasBegun)
-                        .mapToLong(request -> RecentRequestIds.fingerprint(request.id()));
-        return LongStream.concat(LongStream.of(recent.fingerprints()), inFlight).toArray();
+    /** Returns the fingerprints for another process, which must begin none of these requests. */
+    long[] export() {
+        return recent.fingerprints();
     }
 }
--- a/core/src/main/java/postgrade/dispatch/PendingRequest.java
+++ b/core/src/main/java/postgrade/dispatch/PendingRequest.java
@@ -163,11 +163,6 @@
         return first;
     }
 
-    /** Whether a worker may have received the request. */
-    boolean hasBegun() {
-        return begun;
-    }
-
     // ---- Undelivered policy events.
 
     void eventQueued() {
--- a/core/src/main/java/postgrade/dispatch/RequestTracker.java
+++ b/core/src/main/java/postgrade/dispatch/RequestTracker.java
@@ -218,7 +218,7 @@
 
     /** Returns the requests that have been begun here. */
     public long[] exportBegunRequests() {
-        return begunRequests.export(requests.values());
+        return begunRequests.export();
     }
 
     /** Another process has begun these requests. */
--- a/daemon/src/test/java/postgrade/daemon/RepeatedIdTest.java
+++ b/daemon/src/test/java/postgrade/daemon/RepeatedIdTest.java
@@ -124,6 +124,20 @@
     public void jobThatMayRunTwiceIsServedAgain() throws Exception {
         startNew();
         beginAndLeave("c1", "price");
+        assertServedAgain();
+    }
+
+    /** As after the end of a process of an upgrade whose clients send their jobs once more. */
+    @Test
+    public void jobThatMayRunTwiceIsServedAtTheOtherProcess() throws Exception {
+        startNew();
+        beginAndLeave("c1", "price");
+        startNew();
+        awaitStopped(stopInBackground(oldDaemon));
+        assertServedAgain();
+    }
+
+    private void assertServedAgain() throws Exception {
         Socket again;
         do {
             again = post("c1", "price", "15000m");
