--- a/daemon/src/main/java/postgrade/client/ClientConnection.java
+++ b/daemon/src/main/java/postgrade/client/ClientConnection.java
@@ -53,6 +53,9 @@
     /** Whether a request has been rejected since the last sweep. */
     private boolean rejectedSinceSweep;
 
+    /** Whether the rest of the input is due to be handled in the next turn. */
+    private boolean nextTurnScheduled;
+
     /** Whether input behind the request that awaits its answer has been dropped. */
     private boolean discardsInput;
 
@@ -109,6 +112,21 @@
                 state == ConnectionState.READING && (rejectedSinceSweep || !pipelined.isEmpty()));
     }
 
+    private void scheduleNextTurn() {
+        boolean hasRest = state == ConnectionState.READING && !pipelined.isEmpty();
+        if (hasRest && !rejectedSinceSweep && !nextTurnScheduled) {
+            nextTurnScheduled = true;
+            listener.timers.at(listener.timers.nowMicros() + 1, this::handleNextTurn);
+        }
+    }
+
+    private void handleNextTurn() {
+        nextTurnScheduled = false;
+        if (!rejectedSinceSweep) {
+            handlePipelined();
+        }
+    }
+
     /** Handles input that was left by an earlier turn. */
     private void handlePipelined() {
         if (state == ConnectionState.READING || state == ConnectionState.TAKING) {
@@ -190,9 +208,7 @@
             pipelined.clear();
         }
         connection.updateMemory();
-        if (state == ConnectionState.READING && !pipelined.isEmpty() && !rejectedSinceSweep) {
-            listener.timers.at(listener.timers.nowMicros() + 1, this::handlePipelined);
-        }
+        scheduleNextTurn();
     }
 
     @Override
@@ -301,8 +317,11 @@
     }
 
     void sweep(long nowMicros) {
+        boolean wasHeldBack = rejectedSinceSweep && !nextTurnScheduled;
         rejectedSinceSweep = false;
-        handlePipelined();
+        if (wasHeldBack) {
+            handlePipelined();
+        }
         if (state.awaitsAnswer() || state == ConnectionState.CLOSED) {
             return;
         }
--- a/daemon/src/test/java/postgrade/daemon/RequestFloodTest.java
+++ b/daemon/src/test/java/postgrade/daemon/RequestFloodTest.java
@@ -5,9 +5,14 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.Collections;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
+import postgrade.dispatch.ReportedState;
+import postgrade.dispatch.RequestObserver;
 
 /**
  * One client sends small requests on one connection at full speed. Guards against late answers to
@@ -76,6 +81,30 @@
         assertOthersAreServedInTurn("GET /nothing HTTP/1.1\r\n\r\n");
     }
 
+    /** The sweep of the listener handles what was left as well, and must not add to a turn. */
+    @Test
+    public void noTurnHandlesMoreWhenConnectionsAreSwept() throws Exception {
+        Map<Long, Integer> reportsByTurn = new ConcurrentHashMap<>();
+        harness.runOnLoop(
+                () ->
+                        harness.tracker.observer(
+                                new RequestObserver() {
+                                    @Override
+                                    public void reportUnmatched(
+                                            String request, String worker, ReportedState state) {
+                                        reportsByTurn.merge(
+                                                harness.loop.nowMicros(), 1, Integer::sum);
+                                    }
+                                }));
+        Socket flooder = harness.connect();
+        ScriptedPeer.write(flooder, callBackRequest("unknown", "w1", "done").repeat(REQUESTS));
+        for (int i = 0; i < REQUESTS; i++) {
+            assertEquals(204, ScriptedPeer.read(flooder).status());
+        }
+        int most = Collections.max(reportsByTurn.values());
+        assertTrue(most + " requests were handled in a turn", most <= MAX_REQUESTS_PER_TURN);
+    }
+
     /** All of them are answered, although they are handled over many turns. */
     @Test
     public void everyRequestSentAheadIsAnswered() throws Exception {
