Derive what begun requests kept, chunk announcements once, and read the link after parsing

RecentRequestIds.add says whether an id is new, so requests need no flag of their own. One method cuts announcements into messages. The link is read only for jobs that parse. RepeatedIdTest, RecentRequestIdsTest, MessageParserSplitInputTest and BadInputTest pass.

--- a/core/src/main/java/postgrade/dispatch/BegunRequests.java
+++ b/core/src/main/java/postgrade/dispatch/BegunRequests.java
@@ -29,10 +29,11 @@
 
     /** The request is being written to a worker. */
     void begin(PendingRequest request) {
-        if (request.markBegun() && !mayRunAgain.test(request.jobClass())) {
+        if (!mayRunAgain.test(request.jobClass())) {
             long fingerprint = RecentRequestIds.fingerprint(request.id());
-            recent.add(fingerprint);
-            announcement.accept(fingerprint);
+            if (recent.add(fingerprint)) {
+                announcement.accept(fingerprint);
+            }
         }
     }
 
--- a/core/src/main/java/postgrade/dispatch/PendingRequest.java
+++ b/core/src/main/java/postgrade/dispatch/PendingRequest.java
@@ -26,7 +26,6 @@
     private final List<Attempt> attempts = new ArrayList<>(2);
     private int attemptsInFlight;
     private int undeliveredEvents;
-    private boolean begun;
     private boolean answered;
     private boolean allowsConcurrentAttempts;
     private long arrivedMicros;
@@ -156,13 +155,6 @@
                 || (allowsConcurrentAttempts && inFlightAttemptAt(workerId) == null);
     }
 
-    /** Marks that an attempt is being written. Returns false if one has been written before. */
-    boolean markBegun() {
-        boolean first = !begun;
-        begun = true;
-        return first;
-    }
-
     // ---- Undelivered policy events.
 
     void eventQueued() {
--- a/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
+++ b/core/src/main/java/postgrade/dispatch/RecentRequestIds.java
@@ -1,13 +1,13 @@
 package postgrade.dispatch;
 
-import java.util.Arrays;
+import java.util.stream.LongStream;
 
 /**
  * A bounded set of the request ids that were added last. It keeps a fingerprint of 64 bits for each
  * id, so that its memory does not depend on their lengths, and two generations of them: when the
  * newer one is full, it replaces the older one.
  */
-public final class RecentRequestIds {
+final class RecentRequestIds {
 
     /** At least as many ids are kept; at most twice as many. */
     static final int IDS_PER_GENERATION = 1 << 14;
@@ -32,7 +32,7 @@
      * Returns the fingerprint of an id, the same in every process: its FNV-1a hash, mixed so that
      * its low bits depend on all of it.
      */
-    public static long fingerprint(String id) {
+    static long fingerprint(String id) {
         long hash = FNV_OFFSET_BASIS;
         for (int i = 0; i < id.length(); i++) {
             hash = (hash ^ id.charAt(i)) * FNV_PRIME;
@@ -47,11 +47,11 @@
         return newer[slot(newer, fingerprint)] != FREE || older[slot(older, fingerprint)] != FREE;
     }
 
-    /** Adds an id by its fingerprint. */
-    void add(long fingerprint) {
+    /** Adds an id by its fingerprint. Returns false if it is in the newer generation already. */
+    boolean add(long fingerprint) {
         int slot = slot(newer, fingerprint);
         if (fingerprint == FREE || newer[slot] != FREE) {
-            return;
+            return false;
         }
         if (newerCount == IDS_PER_GENERATION) {
             older = newer;
@@ -61,13 +61,14 @@
         }
         newer[slot] = fingerprint;
         newerCount++;
+        return true;
     }
 
     /** Returns the fingerprints, the older ones first. */
     long[] fingerprints() {
-        long[] all = Arrays.copyOf(older, 2 * SLOTS);
-        System.arraycopy(newer, 0, all, SLOTS, SLOTS);
-        return Arrays.stream(all).filter(fingerprint -> fingerprint != FREE).toArray();
+        return LongStream.concat(LongStream.of(older), LongStream.of(newer))
+                .filter(fingerprint -> fingerprint != FREE)
+                .toArray();
     }
 
     /** Returns the slot of the fingerprint, or the free slot where it belongs. */
--- a/daemon/src/main/java/postgrade/client/RequestRouter.java
+++ b/daemon/src/main/java/postgrade/client/RequestRouter.java
@@ -54,7 +54,6 @@
 
     private static void submitJob(ClientConnection connection, Message request) {
         ClientListener listener = connection.listener;
-        listener.relay.receivePending();
         JobSubmission job;
         try {
             job = JobSubmission.parse(request, listener);
@@ -62,6 +61,7 @@
             connection.reject(e.status(), e.getMessage(), request.isKeepAlive());
             return;
         }
+        listener.relay.receivePending(); // Another process may have begun this job.
         Exchange exchange = connection.awaitAnswer(request.isKeepAlive());
         RequestPayload payload =
                 new RequestPayload(
@@ -70,11 +70,12 @@
                         request.header("content-type"),
                         request.header("idempotency-key"),
                         request.body());
-        if (!listener.fitsMemoryLimit(payload.heldBytes())) {
+        long payloadBytes = payload.heldBytes();
+        if (!listener.fitsMemoryLimit(payloadBytes)) {
             exchange.reject(ClientConnection.OVERLOAD_RETRY_MICROS);
             return;
         }
-        exchange.reserve(payload.heldBytes());
+        exchange.reserve(payloadBytes);
         exchange.request =
                 new PendingRequest(
                         job.id(),
--- a/daemon/src/main/java/postgrade/http/MessageParser.java
+++ b/daemon/src/main/java/postgrade/http/MessageParser.java
@@ -341,23 +341,30 @@
 
     private long parseNumber(String text, int radix, long max, int statusIfTooLarge)
             throws BadMessageException {
-        long value = text.isEmpty() ? -1 : 0;
-        boolean tooLarge = false;
-        for (int i = 0; i < text.length() && value >= 0; i++) {
-            char c = text.charAt(i);
-            int digit = c > 'f' ? -1 : Character.digit(c, radix);
-            value = digit < 0 ? -1 : tooLarge ? value : value * radix + digit;
-            tooLarge |= value > max;
-        }
-        if (value < 0) {
+        if (!isNumber(text, radix)) {
             throw new BadMessageException(400, "not a number where one is due");
         }
-        if (tooLarge) {
-            throw new BadMessageException(statusIfTooLarge, "too large a number");
+        long value = 0;
+        for (int i = 0; i < text.length(); i++) {
+            value = value * radix + Character.digit(text.charAt(i), radix);
+            if (value > max) {
+                throw new BadMessageException(statusIfTooLarge, "too large a number");
+            }
         }
         return value;
     }
 
+    /** A plain loop, as it is called for each chunk of a body. */
+    private static boolean isNumber(String text, int radix) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (Character.digit(c, radix) < 0 || c > 'f') {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
     private static boolean isToken(String text) {
         return !text.isEmpty()
                 && text.chars()
--- a/daemon/src/main/java/postgrade/upgrade/BegunAnnouncements.java
+++ b/daemon/src/main/java/postgrade/upgrade/BegunAnnouncements.java
@@ -10,8 +10,8 @@
 import java.util.List;
 
 /**
- * The fingerprints of requests that this process has begun, queued for a peer, and their messages.
- * A peer of an earlier version ignores these messages.
+ * The fingerprints of jobs that this process has begun and that must not run twice, queued for a
+ * peer, and their messages. A peer of an earlier version ignores these messages.
  */
 final class BegunAnnouncements {
 
@@ -32,24 +32,18 @@
         queued.add(fingerprint);
     }
 
-    boolean hasNext() {
-        return !queued.isEmpty();
-    }
-
-    /** Takes the next message, of as many fingerprints as it may have. */
-    JsonObject next() {
-        long[] fingerprints = new long[Math.min(queued.size(), MAX_PER_MESSAGE)];
-        for (int i = 0; i < fingerprints.length; i++) {
-            fingerprints[i] = queued.poll();
-        }
-        return message(fingerprints);
+    /** Takes all that are queued, in messages. */
+    List<JsonObject> drain() {
+        long[] fingerprints = queued.stream().mapToLong(Long::longValue).toArray();
+        queued.clear();
+        return messages(fingerprints);
     }
 
     int heldBytes() {
         return queued.size() * Long.BYTES * 4; // With the objects around them.
     }
 
-    /** Returns the messages for a new process. */
+    /** Returns the messages for these fingerprints. */
     static List<JsonObject> messages(long[] fingerprints) {
         List<JsonObject> messages = new ArrayList<>();
         for (int from = 0; from < fingerprints.length; from += MAX_PER_MESSAGE) {
--- a/daemon/src/main/java/postgrade/upgrade/PeerLink.java
+++ b/daemon/src/main/java/postgrade/upgrade/PeerLink.java
@@ -87,8 +87,8 @@
     private void flush() throws IOException {
         if (open) {
             lines.writeTo(channel);
-            while (lines.allWritten() && begun.hasNext()) {
-                lines.enqueue(begun.next().toString());
+            if (lines.allWritten()) {
+                begun.drain().forEach(message -> lines.enqueue(message.toString()));
                 lines.writeTo(channel);
             }
             updateInterest();
