Share the tests' harness with its connections and the flood around a sound client

MemoryLimitTest repeated the set-up of MemoryFloodTest and ShutdownTestBase, and its own loop. LoopHarnessTestBase has the set-up once.

--- a/daemon/src/test/java/postgrade/daemon/MemoryFloodTest.java
+++ b/daemon/src/test/java/postgrade/daemon/MemoryFloodTest.java
@@ -3,11 +3,9 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.daemon.ScriptedPeer.ReceivedMessage;
@@ -16,7 +14,7 @@
  * Clients fill the memory limit for bodies and disconnect: other clients' jobs and call-backs must
  * be served meanwhile, and all of the memory must be released.
  */
-public class MemoryFloodTest extends DaemonTestBase {
+public class MemoryFloodTest extends LoopHarnessTestBase {
 
     private static final int BODY_BYTES = 65_536;
     private static final int REQUESTS_TO_FILL = (24 << 20) / BODY_BYTES;
@@ -25,28 +23,9 @@
                     + BODY_BYTES
                     + "\r\nX-Request-Id: ";
 
-    private LoopHarness harness;
-
     @Before
     public void startHarness() throws Exception {
-        harness = new LoopHarness(Config.read(configuration()), 1024);
-        harness.addWorker("w1", workerOne);
-        harness.script.onJob =
-                job -> {
-                    if (job.id().startsWith("usual")) {
-                        harness.script.actions.startAttempt(job.id(), "w1", 0);
-                    }
-                };
-    }
-
-    @After
-    public void close() throws IOException {
-        harness.close();
-    }
-
-    @Override
-    Socket connect() throws IOException {
-        return harness.connect();
+        startServingUsualJobs();
     }
 
     private void assertUsualJobServed(String id) throws Exception {
--- a/daemon/src/test/java/postgrade/daemon/MemoryLimitTest.java
+++ b/daemon/src/test/java/postgrade/daemon/MemoryLimitTest.java
@@ -7,7 +7,6 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.daemon.ScriptedPeer.ReceivedMessage;
@@ -17,7 +16,7 @@
  * sum that grows with the number of peers: it is bounded, those that hold the most lose it first,
  * and a peer that holds little keeps its result.
  */
-public class MemoryLimitTest extends DaemonTestBase {
+public class MemoryLimitTest extends LoopHarnessTestBase {
 
     private static final long LIMIT_BYTES = 32 << 20;
     private static final int PEERS = 330;
@@ -28,28 +27,10 @@
     private static final String JOB_HEAD = "POST /api HTTP/1.1\r\nX-Class: price\r\n";
 
     private final List<Socket> flood = new ArrayList<>();
-    private LoopHarness harness;
 
     @Before
     public void startHarness() throws Exception {
-        harness = new LoopHarness(Config.read(configuration()), 1024);
-        harness.addWorker("w1", workerOne);
-        harness.script.onJob =
-                job -> {
-                    if (job.id().startsWith("usual")) {
-                        harness.script.actions.startAttempt(job.id(), "w1", 0);
-                    }
-                };
-    }
-
-    @After
-    public void close() throws IOException {
-        harness.close();
-    }
-
-    @Override
-    Socket connect() throws IOException {
-        return harness.connect();
+        startServingUsualJobs();
     }
 
     private static String job(String id, int length) {
@@ -62,11 +43,23 @@
         assertTrue(used[0] + " bytes are held", used[0] <= LIMIT_BYTES);
     }
 
-    /** A client whose body comes in two parts, with the end of the flood between them. */
-    private Socket beginUsualJob() throws IOException {
-        Socket client = connect();
-        ScriptedPeer.write(client, job("usual", 40_000) + "x".repeat(10_000));
-        return client;
+    /** What one client of the flood does. */
+    private interface Flooder {
+        void send(Socket client, int number) throws Exception;
+    }
+
+    /** Returns a client whose body comes in two parts, with the end of the flood between them. */
+    private Socket floodAroundUsualJob(Flooder flooder) throws Exception {
+        Socket usual = null;
+        for (int i = 0; i < PEERS; i++) {
+            if (i == PEERS - LAST_PEERS) {
+                usual = connect();
+                ScriptedPeer.write(usual, job("usual", 40_000) + "x".repeat(10_000));
+            }
+            flood.add(connect());
+            flooder.send(flood.get(i), i);
+        }
+        return usual;
     }
 
     private void assertUsualJobServed(Socket client) throws Exception {
@@ -81,16 +74,18 @@
     /** The job under way is answered, although what was sent behind it had to be dropped. */
     @Test
     public void inputBehindRequestsUnderWayIsBoundedOverAllPeers() throws Exception {
-        Socket usual = null;
-        for (int i = 0; i < PEERS; i++) {
-            usual = i == PEERS - LAST_PEERS ? beginUsualJob() : usual;
-            Socket client = connect();
-            flood.add(client);
-            ScriptedPeer.write(
-                    client, job("flood" + i, 1) + "x" + job("b" + i, 60_000) + "x".repeat(60_000));
-            ScriptedPeer.write(client, job("c" + i, 60_000) + "x".repeat(50_000));
-            harness.script.expectEventAmongOthers("job flood" + i);
-        }
+        Socket usual =
+                floodAroundUsualJob(
+                        (client, i) -> {
+                            ScriptedPeer.write(
+                                    client,
+                                    job("flood" + i, 1)
+                                            + "x"
+                                            + job("b" + i, 60_000)
+                                            + "x".repeat(60_000));
+                            ScriptedPeer.write(client, job("c" + i, 60_000) + "x".repeat(50_000));
+                            harness.script.expectEventAmongOthers("job flood" + i);
+                        });
         assertBounded();
         assertUsualJobServed(usual);
         for (int i = 0; i < PEERS; i++) {
@@ -108,13 +103,11 @@
 
     @Test
     public void incompleteRequestsAreBoundedOverAllPeers() throws Exception {
-        Socket usual = null;
-        for (int i = 0; i < PEERS; i++) {
-            usual = i == PEERS - LAST_PEERS ? beginUsualJob() : usual;
-            Socket client = connect();
-            flood.add(client);
-            ScriptedPeer.write(client, job("half" + i, 65_536) + "x".repeat(65_000));
-        }
+        Socket usual =
+                floodAroundUsualJob(
+                        (client, i) ->
+                                ScriptedPeer.write(
+                                        client, job("half" + i, 65_536) + "x".repeat(65_000)));
         harness.awaitIteration();
         assertBounded();
         assertUsualJobServed(usual);
--- a/daemon/src/test/java/postgrade/daemon/RequestFloodTest.java
+++ b/daemon/src/test/java/postgrade/daemon/RequestFloodTest.java
@@ -3,12 +3,10 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.Socket;
 import java.util.Collections;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
 import postgrade.dispatch.ReportedState;
@@ -18,23 +16,16 @@
  * One client sends small requests on one connection at full speed. Guards against late answers to
  * other clients.
  */
-public class RequestFloodTest extends DaemonTestBase {
+public class RequestFloodTest extends LoopHarnessTestBase {
 
     private static final int REQUESTS = 1500;
     private static final int MAX_REQUESTS_PER_TURN = 16;
 
-    private LoopHarness harness;
-
     @Before
     public void startHarness() throws Exception {
         harness = new LoopHarness(Config.read(configuration()), 1024);
     }
 
-    @After
-    public void close() throws IOException {
-        harness.close();
-    }
-
     /** Returns how many bytes the flooding client is answered before another one's job is seen. */
     private int bytesAnsweredBeforeOthers(String request) throws Exception {
         Socket flooder = harness.connect();
--- a/daemon/src/test/java/postgrade/daemon/ShutdownTestBase.java
+++ b/daemon/src/test/java/postgrade/daemon/ShutdownTestBase.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import org.junit.After;
 import org.junit.Before;
 import postgrade.daemon.ScriptedPeer.ReceivedMessage;
 
@@ -15,7 +14,7 @@
  * Base of tests of requests that race with SIGTERM: the loop with everything that serves clients
  * and shuts down, with a hook into its iterations.
  */
-public abstract class ShutdownTestBase extends DaemonTestBase {
+public abstract class ShutdownTestBase extends LoopHarnessTestBase {
 
     /**
      * With this deadline SIGKILL comes 1.5 s after SIGTERM at the earliest, and idle connections
@@ -29,8 +28,6 @@
     /** Longer than two sweeps and checks. */
     static final long TWO_SWEEPS_MILLIS = 120;
 
-    LoopHarness harness;
-
     @Before
     public void startHarness() throws Exception {
         Path file = Path.of(configuration().get("ROUTER_CONFIG"));
@@ -39,16 +36,6 @@
         harness.script.onJob = job -> harness.script.actions.reject(job.id(), 0);
     }
 
-    @After
-    public void close() throws IOException {
-        harness.close();
-    }
-
-    @Override
-    Socket connect() throws IOException {
-        return harness.connect();
-    }
-
     Socket idleConnection(String id) throws Exception {
         Socket s = harness.post(id);
         harness.script.expectEvent("job " + id);
